Serve callers on the users' platform: rules, endpoints and entries from the store, gathers and single requests forwarded

Cause: the tier spoke only to its own stand-ins. The platform fixes how callers, endpoints, operators and the store talk. Change: platform/ decodes the store's records and the messages' headers; core/kctfleet follows the store, core/kctforward answers requests, core/kctbalance chooses endpoints within shares of the fleet's limits; io/kctingress, io/kctegress and io/kctnode carry them. Each entry sends to endpoints itself.

--- /dev/null
+++ b/core/kctbalance/cold.go
@@ -0,0 +1,35 @@
+package kctbalance
+
+import "time"
+
+const (
+	// coldSafety leaves room for clocks and delays that shift requests of several entries into one second.
+	coldSafety = 0.7
+	// coldOvershoot and coldSlack are the users' bound on a cold endpoint: rate x 1.5 + 5 requests in one second over all entries.
+	coldOvershoot = 1.5
+	coldSlack     = 5.0
+)
+
+// coldGate spaces the requests of this entry to a cold endpoint.
+type coldGate struct {
+	next time.Time
+}
+
+// coldSpacing is the time between two requests of one of the sharers; 0 means no bound.
+func coldSpacing(rate float64, sharers int) time.Duration {
+	if rate <= 0 {
+		return 0
+	}
+	share := (rate*coldOvershoot + coldSlack) * coldSafety / float64(max(1, sharers))
+	return time.Duration(float64(time.Second) / share)
+}
+
+// open reports whether a request may go out now.
+func (g *coldGate) open(now time.Time) bool {
+	return !now.Before(g.next)
+}
+
+// pass takes the next request's turn.
+func (g *coldGate) pass(now time.Time, spacing time.Duration) {
+	g.next = now.Add(spacing)
+}
--- /dev/null
+++ b/core/kctdirectory/doc.go
@@ -0,0 +1,2 @@
+// Package kctdirectory decides which entries a caller should connect to.
+package kctdirectory
--- /dev/null
+++ b/core/kctfleet/follow.go
@@ -0,0 +1,93 @@
+package kctfleet
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	kctport "kingcupturn"
+)
+
+const (
+	// watchWait bounds how long a connection that went silent hides changes; rules must be in force within 3 s of their acceptance.
+	watchWait = 2500 * time.Millisecond
+	// watchPause lets changes gather, since each watch that returns is a priced call.
+	watchPause = 150 * time.Millisecond
+	// retryPause is the wait after a failed call of the store.
+	retryPause = 250 * time.Millisecond
+)
+
+// follow reads the store and then watches it; after a gap in its history everything is read again.
+func (c *Controller) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		l, err := c.registry.Load(ctx)
+		if err != nil {
+			c.failed(ctx, "store unreachable", err)
+			continue
+		}
+		c.update(ctx, func(s *state, now time.Time) []event {
+			events := c.regained(s, now)
+			return append(events, s.load(now, l)...)
+		})
+		c.watch(ctx, l.Revision)
+	}
+}
+
+// watch follows changes until the history has a gap.
+func (c *Controller) watch(ctx context.Context, after kctport.StoreRevision) {
+	for ctx.Err() == nil {
+		changes, revision, err := c.registry.Watch(ctx, after, watchWait)
+		if errors.Is(err, kctport.ErrCompacted) {
+			c.log.Believe("store history compacted", "", err.Error(), 0)
+			return
+		}
+		if err != nil {
+			c.failed(ctx, "store unreachable", err)
+			continue
+		}
+		after = revision
+		c.update(ctx, func(s *state, now time.Time) []event {
+			events := c.regained(s, now)
+			for _, change := range changes {
+				events = append(events, s.apply(now, change)...)
+			}
+			return events
+		})
+		if len(changes) > 0 {
+			c.pause(ctx, watchPause)
+		}
+	}
+}
+
+// regained notes that the store answered and reports the end of an outage.
+func (c *Controller) regained(s *state, now time.Time) []event {
+	wasAway := s.away || s.contact.IsZero()
+	s.heard(now)
+	if !wasAway {
+		return nil
+	}
+	return []event{{what: "store reachable"}}
+}
+
+// failed notes a failed call; only the first of a row is reported.
+func (c *Controller) failed(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	c.update(ctx, func(s *state, _ time.Time) []event {
+		first := !s.away
+		s.away = true
+		if !first {
+			return nil
+		}
+		return []event{{what: what, detail: err.Error()}}
+	})
+	c.pause(ctx, retryPause)
+}
+
+func (c *Controller) pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-c.timer.After(ctx, d):
+	}
+}
--- /dev/null
+++ b/core/kctforward/call.go
@@ -0,0 +1,271 @@
+package kctforward
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	kctport "kingcupturn"
+	"kingcupturn/core/kctbalance"
+)
+
+// call is one request while it is being answered; only the caller's goroutine touches it, attempts report over results.
+type call struct {
+	engine  *Engine
+	fleet   *kctport.Fleet
+	route   *kctport.Route
+	message *kctport.Message
+	story   *Story
+	// deadline is when the caller or the operator wants a final answer.
+	deadline time.Time
+	// due is when a gathered answer should leave with the parts that are in.
+	due     time.Time
+	parts   []*part
+	results chan result
+	// answered is closed when nobody reads results any more.
+	answered chan struct{}
+	// attempts bounds the attempts, which may outlive the call; users counts them and the call itself.
+	attempts context.Context
+	cancel   context.CancelFunc
+	users    atomic.Int32
+}
+
+// part is the work of one service for a request.
+type part struct {
+	service kctport.ServiceName
+	tried   []kctport.InstanceID
+	// pending counts attempts without a result, ran those that may have run.
+	pending int
+	ran     int
+	// arrived counts attempts that reached an endpoint, whether they ran or not; the first one isn't extra.
+	arrived  int
+	refusals int
+	// response is the accepted answer; failed is the endpoint's own failure, kept for the caller.
+	response *kctport.Response
+	failed   *kctport.Response
+	// wake is when a hedge or another look for an endpoint is due; zero for never.
+	wake time.Time
+}
+
+// result is the end of one attempt.
+type result struct {
+	part     *part
+	attempt  *kctbalance.Attempt
+	response kctport.Response
+	err      error
+}
+
+func (e *Engine) newCall(fleet *kctport.Fleet, route *kctport.Route, message *kctport.Message, story *Story) *call {
+	c := &call{engine: e, fleet: fleet, route: route, message: message, story: story, answered: make(chan struct{})}
+	c.deadline = message.Deadline
+	if limit := message.Received.Add(route.Timeout); route.Timeout > 0 && limit.Before(c.deadline) {
+		c.deadline = limit
+	}
+	c.due = message.Received.Add(route.Objective - returnTime)
+	if len(route.Gather) > 0 {
+		for _, s := range route.Gather {
+			c.parts = append(c.parts, &part{service: s})
+		}
+	} else {
+		c.parts = []*part{{service: e.splitter.Next(route)}}
+	}
+	c.results = make(chan result, 2*len(c.parts))
+	return c
+}
+
+// run answers the request.
+func (c *call) run(ctx context.Context) kctport.Reply {
+	c.attempts, c.cancel = context.WithDeadline(context.WithoutCancel(ctx), c.deadline)
+	c.users.Store(1)
+	defer c.release()
+	defer close(c.answered)
+	for _, p := range c.parts {
+		c.engine.budget.Deposit(p.service)
+	}
+	if reply, ok := c.hopeless(); ok {
+		return reply
+	}
+	for _, p := range c.parts {
+		c.launch(p)
+	}
+	return c.collect(ctx)
+}
+
+// release ends the attempts' context when the last user is gone.
+func (c *call) release() {
+	if c.users.Add(-1) == 0 {
+		c.cancel()
+	}
+}
+
+// hopeless refuses a gather that can't reach its coverage because whole shards have no endpoint.
+func (c *call) hopeless() (kctport.Reply, bool) {
+	available := 0
+	for _, p := range c.parts {
+		if len(c.fleet.Servers[p.service]) > 0 {
+			available++
+		}
+	}
+	if available > 0 && c.covers(available) {
+		return kctport.Reply{}, false
+	}
+	return refusal("no endpoint known for too many shards"), true
+}
+
+// covers reports whether a number of parts makes a successful answer.
+func (c *call) covers(parts int) bool {
+	return parts > 0 && float64(parts) >= c.route.MinCoverage*float64(len(c.parts))-coverageRounding
+}
+
+// coverageRounding absorbs the rounding of a decimal coverage.
+const coverageRounding = 1e-9
+
+// collect waits for attempts and timers until an answer can be given.
+func (c *call) collect(ctx context.Context) kctport.Reply {
+	alarm, stop := c.alarm()
+	defer func() { stop() }()
+	left := ctx.Done()
+	for {
+		if reply, ok := c.decide(c.engine.timer.Now()); ok {
+			return reply
+		}
+		select {
+		case r := <-c.results:
+			c.take(r)
+		case <-alarm:
+			c.awake(c.engine.timer.Now())
+		case <-left:
+			return c.abandon()
+		}
+		stop()
+		alarm, stop = c.alarm()
+	}
+}
+
+// abandon handles a caller that left: nothing new is sent, and what is still running after a moment is cut off.
+func (c *call) abandon() kctport.Reply {
+	c.story.Left = true
+	alarm, stop := c.after(lingerAfterLeave)
+	defer stop()
+	for c.pending() > 0 {
+		select {
+		case r := <-c.results:
+			r.part.pending--
+		case <-alarm:
+			c.cancel()
+			return failure(statusBadGateway, "caller left")
+		}
+	}
+	return failure(statusBadGateway, "caller left")
+}
+
+func (c *call) pending() int {
+	n := 0
+	for _, p := range c.parts {
+		n += p.pending
+	}
+	return n
+}
+
+// alarm returns a channel for the earliest time at which something is due.
+func (c *call) alarm() (<-chan time.Time, context.CancelFunc) {
+	next := c.deadline.Add(-deadlineReserve)
+	now := c.engine.timer.Now()
+	if len(c.route.Gather) > 0 && c.due.After(now) && c.due.Before(next) {
+		next = c.due
+	}
+	for _, p := range c.parts {
+		if p.response == nil && !p.wake.IsZero() && p.wake.Before(next) {
+			next = p.wake
+		}
+	}
+	return c.after(next.Sub(now))
+}
+
+func (c *call) after(d time.Duration) (<-chan time.Time, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(c.attempts)
+	return c.engine.timer.After(ctx, max(0, d)), cancel
+}
+
+// awake hedges the parts whose time has come.
+func (c *call) awake(now time.Time) {
+	for _, p := range c.parts {
+		if p.response != nil || p.wake.IsZero() || p.wake.After(now) {
+			continue
+		}
+		p.wake = time.Time{}
+		if !c.affords(p, hedgeReserve) {
+			continue
+		}
+		hedge := p.pending > 0
+		if c.launch(p) && hedge {
+			c.story.Hedges++
+		}
+	}
+}
+
+// affords reports whether the part may be sent once more, and takes that from the budget.
+func (c *call) affords(p *part, reserve float64) bool {
+	if p.ran+p.pending >= c.route.Attempts || p.ran+p.pending > 0 && !c.route.Idempotent {
+		return false
+	}
+	return p.arrived+p.pending == 0 || c.engine.budget.Withdraw(p.service, reserve)
+}
+
+// launch sends the part to an endpoint; without one it looks again later.
+func (c *call) launch(p *part) bool {
+	e := c.engine
+	now := e.timer.Now()
+	a := e.balancer.Start(now, c.fleet, kctbalance.Choice{Service: p.service, Route: c.route.Name, Tried: p.tried})
+	if a == nil && p.pending == 0 && len(p.tried) > 0 && c.route.Idempotent {
+		// All have been tried; a second look at one of them is better than none.
+		p.tried = p.tried[:0]
+	}
+	if a == nil {
+		p.wake = now.Add(repickPause)
+		return false
+	}
+	p.tried = append(p.tried, a.Server.ID)
+	p.pending++
+	c.story.Sends++
+	if c.route.Idempotent {
+		p.wake = now.Add(e.delays.Delay(c.route.Name, time.Duration(hedgeShare*float64(c.route.Objective))))
+	}
+	c.users.Add(1)
+	go c.attempt(p, a)
+	return true
+}
+
+// attempt performs one exchange; it ends by the attempts' context at the latest and reports over results.
+func (c *call) attempt(p *part, a *kctbalance.Attempt) {
+	defer c.release()
+	r := result{part: p, attempt: a}
+	var sent time.Time
+	r.response, r.err = c.engine.exchanger.Exchange(c.attempts, &a.Server.Server, c.message, kctport.ExchangeOptions{
+		Deadline: c.deadline, Connections: a.Connections, Once: !c.route.Idempotent,
+		Sent: func() { sent = c.engine.timer.Now() },
+	})
+	c.learn(a, sent, &r)
+	select {
+	case c.results <- r:
+	case <-c.answered:
+	}
+}
+
+// learn tells the balancer how the attempt went.
+func (c *call) learn(a *kctbalance.Attempt, sent time.Time, r *result) {
+	now := c.engine.timer.Now()
+	o := kctbalance.Outcome{Load: r.response.Load}
+	switch {
+	case r.err != nil:
+		o.Failed = !errors.Is(r.err, context.Canceled) && !errors.Is(r.err, kctport.ErrShed)
+	case r.response.NotRun:
+	case r.response.OK():
+		o.Latency = now.Sub(sent)
+		c.engine.delays.Observe(c.route.Name, o.Latency)
+	default:
+		o.Failed = r.response.Status >= 500
+	}
+	c.engine.balancer.Finish(now, a, o)
+}
--- a/errors.go
+++ b/errors.go
@@ -24,6 +24,8 @@
 	ErrFailed = errors.New("endpoint failed")
 	// ErrQuarantined means that the body is refused because it crashed endpoints.
 	ErrQuarantined = errors.New("request quarantined")
+	// ErrCompacted means that the store has dropped the history which a watch asked for.
+	ErrCompacted = errors.New("history compacted")
 	// ErrNoEndpoint means that no usable endpoint is left for a part.
 	ErrNoEndpoint = errors.New("no usable endpoint")
 	// ErrNoSnapshot means that no snapshot is common to the parts of a query.
--- /dev/null
+++ b/io/kctingress/server.go
@@ -0,0 +1,189 @@
+package kctingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	kctport "kingcupturn"
+)
+
+const (
+	// defaultBody and defaultIdle hold until the operator's limits are known.
+	defaultBody = 256 << 10
+	defaultIdle = 15 * time.Second
+	// headerTimeout bounds the reading of a request's headers; the operator's limit is shorter, and callers keep to it.
+	headerTimeout = 10 * time.Second
+	// maxHeader bounds a request's headers in bytes.
+	maxHeader = 64 << 10
+	// idleSlack is the part by which idle connections are kept longer than the operator's limit, since callers use theirs up to it.
+	idleSlack = 1.25
+	// idleSweep is how often idle connections are looked at.
+	idleSweep = time.Second
+)
+
+// Server serves callers' requests at one address.
+type Server struct {
+	address   netip.AddrPort
+	forwarder kctport.Forwarder
+	fleets    kctport.Fleets
+	dialect   kctport.Dialect
+	timer     kctport.Timer
+	http      *http.Server
+	winding   atomic.Bool
+
+	mu   sync.Mutex
+	idle map[net.Conn]time.Time
+}
+
+// New returns a server that isn't listening yet.
+func New(address netip.AddrPort, forwarder kctport.Forwarder, fleets kctport.Fleets, dialect kctport.Dialect, timer kctport.Timer) *Server {
+	s := &Server{
+		address: address, forwarder: forwarder, fleets: fleets, dialect: dialect, timer: timer,
+		idle: map[net.Conn]time.Time{},
+	}
+	s.http = &http.Server{
+		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
+		ConnState: s.follow, ErrorLog: klog.NewStandardLogger("WARNING"),
+	}
+	return s
+}
+
+// Start listens; the channel reports the end of serving, nil after Shutdown.
+func (s *Server) Start(ctx context.Context) (<-chan error, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.address.String())
+	if err != nil {
+		return nil, eris.Wrapf(kctport.ErrUnavailable, "listen at %s: %v", s.address, err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		err := s.http.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			err = nil
+		}
+		done <- err
+	}()
+	go s.sweep(ctx)
+	return done, nil
+}
+
+// Wind makes every further answer close its connection.
+func (s *Server) Wind() {
+	s.winding.Store(true)
+}
+
+// Shutdown closes idle connections and waits for requests in progress.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return s.http.Shutdown(ctx)
+}
+
+func (s *Server) limits() kctport.CallerLimits {
+	l := kctport.CallerLimits{BodyBytes: defaultBody, IdleTimeout: defaultIdle}
+	if r := s.fleets.Fleet().Rules; r != nil {
+		l = r.Limits
+	}
+	return l
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	received := s.timer.Now()
+	header := kctport.Header(r.Header)
+	id, wait, ok := s.dialect.Request(header)
+	if !ok {
+		s.write(w, &kctport.Reply{Status: http.StatusBadRequest, Own: true, Reason: "no request identifier"})
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.limits().BodyBytes)))
+	if err != nil {
+		s.unread(w, id, err)
+		return
+	}
+	reply := s.forwarder.Forward(r.Context(), &kctport.Message{
+		ID: id, Method: r.Method, Target: r.RequestURI, Path: r.URL.EscapedPath(), Host: r.Host,
+		Header: header, Body: body, Received: received, Deadline: received.Add(wait),
+	})
+	if r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	s.write(w, &reply)
+}
+
+// unread answers a request whose body could not be read; it has not been passed on.
+func (s *Server) unread(w http.ResponseWriter, id string, err error) {
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		klog.InfoS("request body too large", "request", id, "limit", large.Limit)
+		s.write(w, &kctport.Reply{Status: http.StatusRequestEntityTooLarge, Own: true, Reason: "body too large"})
+		return
+	}
+	klog.InfoS("request body not read", "request", id, "err", err)
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) write(w http.ResponseWriter, reply *kctport.Reply) {
+	h := w.Header()
+	for name, values := range s.dialect.Reply(reply) {
+		h[name] = values
+	}
+	body := reply.Body
+	if reply.Own {
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+		body = []byte(reply.Reason + "\n")
+	} else if _, ok := h["Content-Type"]; !ok {
+		// The endpoint gave none, and none must be guessed.
+		h["Content-Type"] = nil
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	if s.winding.Load() {
+		h.Set("Connection", "close")
+	}
+	w.WriteHeader(reply.Status)
+	if _, err := w.Write(body); err != nil {
+		klog.V(1).InfoS("answer not delivered", "err", err)
+	}
+}
+
+// follow notes since when a connection is idle.
+func (s *Server) follow(c net.Conn, state http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == http.StateIdle || state == http.StateNew {
+		s.idle[c] = s.timer.Now()
+		return
+	}
+	delete(s.idle, c)
+}
+
+// sweep closes connections that were idle beyond the operator's limit.
+func (s *Server) sweep(ctx context.Context) {
+	ticks := s.timer.Subscribe(ctx, idleSweep)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticks:
+		}
+		limit := time.Duration(idleSlack * float64(s.limits().IdleTimeout))
+		if limit <= 0 {
+			continue
+		}
+		now := s.timer.Now()
+		s.mu.Lock()
+		for c, since := range s.idle {
+			if now.Sub(since) > limit {
+				c.Close()
+			}
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/io/kctlog/story.go
@@ -0,0 +1,50 @@
+package kctlog
+
+import (
+	"strconv"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	kctport "kingcupturn"
+	"kingcupturn/core/kctforward"
+)
+
+// Decisions logs what the core decides; the zero value is ready.
+type Decisions struct{}
+
+// Believe logs a change of what the entry believes.
+func (Decisions) Believe(what, key, detail string, version kctport.RulesVersion) {
+	fields := []any{"key", key}
+	if version > 0 {
+		fields = append(fields, "version", uint64(version))
+	}
+	if detail != "" {
+		fields = append(fields, "detail", detail)
+	}
+	klog.InfoS(what, fields...)
+}
+
+// Answered logs one line for a request that was served plainly, and each decision about any other.
+func (Decisions) Answered(s *kctforward.Story) {
+	id := s.Message.ID
+	for _, step := range s.Steps {
+		klog.InfoS(step.What, "request", id, "after", step.At.Sub(s.Start).Round(10*time.Microsecond),
+			"service", step.Service, "endpoint", step.Server, "detail", step.Detail)
+	}
+	fields := []any{
+		"request", id, "status", s.Reply.Status, "took", s.End.Sub(s.Start).Round(10 * time.Microsecond),
+		"sends", s.Sends, "hedges", s.Hedges, "retries", s.Retries,
+	}
+	if s.Route != nil {
+		fields = append(fields, "route", s.Route.Name)
+	}
+	if s.Fleet.Rules != nil {
+		fields = append(fields, "rules", uint64(s.Fleet.Rules.Version))
+	}
+	if !s.Plain() {
+		fields = append(fields, "missing", strconv.Itoa(s.Reply.Missing), "late", s.Late(), "left", s.Left, "reason", s.Reply.Reason,
+			"wait", s.Message.Deadline.Sub(s.Start), "contact", s.Start.Sub(s.Fleet.Contact).Round(time.Millisecond))
+	}
+	klog.InfoS("request answered", fields...)
+}
--- /dev/null
+++ b/io/kctlog/writer.go
@@ -0,0 +1,79 @@
+package kctlog
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// queueLines bounds the lines that wait for a slow reader, about 300 KB.
+	queueLines = 1024
+)
+
+// Writer is an io.Writer that hands lines to a goroutine and drops them when too many wait.
+type Writer struct {
+	out     io.Writer
+	lines   chan []byte
+	dropped atomic.Uint64
+}
+
+// New returns a writer; nothing is written before Run.
+func New(out io.Writer) *Writer {
+	return &Writer{out: out, lines: make(chan []byte, queueLines)}
+}
+
+// Write queues one line; it never blocks and never fails.
+func (w *Writer) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the number of lines dropped since the start.
+func (w *Writer) Dropped() uint64 {
+	return w.dropped.Load()
+}
+
+// Run writes lines until the context ends and then those that wait; the channel closes after the last one.
+func (w *Writer) Run(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		reported := uint64(0)
+		for {
+			select {
+			case line := <-w.lines:
+				w.emit(line)
+			case <-ctx.Done():
+				w.drain()
+				return
+			}
+			if n := w.dropped.Load(); n != reported && len(w.lines) < queueLines/2 {
+				w.emit(fmt.Appendf(nil, "log lines dropped: %d\n", n-reported))
+				reported = n
+			}
+		}
+	}()
+	return done
+}
+
+// emit writes to standard output; there is no other place to report its failure to.
+func (w *Writer) emit(line []byte) {
+	_, _ = w.out.Write(line)
+}
+
+func (w *Writer) drain() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.emit(line)
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/kctnode/node.go
@@ -0,0 +1,195 @@
+package kctnode
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	kctport "kingcupturn"
+	"kingcupturn/core/kctbalance"
+	"kingcupturn/core/kctdirectory"
+	"kingcupturn/core/kctfleet"
+	"kingcupturn/core/kctforward"
+	"kingcupturn/core/kctroutes"
+	"kingcupturn/io/kctegress"
+	"kingcupturn/io/kctingress"
+	"kingcupturn/io/kctlog"
+	"kingcupturn/io/kctsetting"
+	"kingcupturn/io/kcttimer"
+	kctadapter "kingcupturn/platform"
+)
+
+const (
+	// memoryShare of the process limit is left to Go's heap; the rest is for stacks, sockets and the C library.
+	memoryShare = 0.7
+	// gcPercent trades memory, of which there is plenty, for processor time.
+	gcPercent = 300
+	// lastAnswers is the part of the grace time that is kept for requests in progress.
+	lastAnswers = 900 * time.Millisecond
+	// exitReserve ends the process before it is killed.
+	exitReserve = 250 * time.Millisecond
+	// windPeriod is the last part of the drain, in which answers close their connections.
+	windPeriod = time.Second
+)
+
+// Node is one entry on the users' platform.
+type Node struct {
+	settings kctsetting.Serving
+	timer    kctport.Timer
+	control  *kctfleet.Controller
+	egress   *kctegress.Client
+	budget   *kctbalance.Budget
+	policies kctforward.Policies
+	ingress  *kctingress.Server
+}
+
+// New wires an entry; nothing runs before Run.
+func New(settings kctsetting.Serving) *Node {
+	n := &Node{settings: settings, timer: kcttimer.New()}
+	self := kctport.EntryRecord{ID: settings.ID, Zone: settings.Zone, Caller: settings.Caller, Peer: settings.Metrics}
+	log := kctlog.Decisions{}
+	n.policies = kctforward.Policies{
+		Balancer: kctbalance.New(settings.Zone, uint64(n.timer.Now().UnixNano())),
+		Budget:   kctbalance.NewBudget(n.budgetSettings()),
+		Delays:   kctbalance.NewDelays(), Splitter: kctroutes.NewSplitter(),
+	}
+	n.control = kctfleet.New(self, kctadapter.NewClient(settings.Store), n.timer, log, kctfleet.WithPublished(n.follow))
+	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
+	engine := kctforward.NewEngine(n.control, n.timer, n.egress, n.policies, log)
+	n.ingress = kctingress.New(settings.Caller, engine, n.control, kctadapter.Dialect{}, n.timer)
+	return n
+}
+
+func (n *Node) budgetSettings() kctbalance.BudgetSettings {
+	return kctbalance.BudgetSettings{Ratio: n.settings.Ratio, Slack: n.settings.Slack}
+}
+
+// follow brings the traffic policies up to date with a new picture.
+func (n *Node) follow(f *kctport.Fleet) {
+	n.policies.Budget.Update(n.budgetSettings(), f.Sharers)
+	n.policies.Balancer.Forget(f)
+	if f.Rules == nil {
+		return
+	}
+	n.policies.Budget.Forget(f.Rules)
+	n.policies.Splitter.Forget(f.Rules)
+	routes := map[string]bool{}
+	for _, r := range f.Rules.Routes {
+		routes[r.Name] = true
+	}
+	n.policies.Delays.Forget(func(route string) bool { return routes[route] })
+}
+
+// Run serves until the context ends, then drains within the grace time.
+func (n *Node) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.Memory) * (1 << 20)))
+	debug.SetGCPercent(gcPercent)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	control := n.control.Run(work)
+	egress := n.egress.Run(work)
+	callers, err := n.ingress.Start(work)
+	if err != nil {
+		return err
+	}
+	fronts, err := n.serveFronts(work)
+	if err != nil {
+		return err
+	}
+	klog.InfoS("entry started", "id", n.settings.ID, "zone", n.settings.Zone, "caller", n.settings.Caller, "store", n.settings.Store)
+	select {
+	case <-ctx.Done():
+		err = n.drain(work)
+	case err = <-callers:
+	case err = <-fronts:
+	}
+	stop()
+	<-control
+	<-egress
+	klog.InfoS("entry stopped", "id", n.settings.ID, "err", err)
+	return err
+}
+
+// ready reports whether new callers may come.
+func (n *Node) ready() error {
+	f := n.control.Fleet()
+	switch {
+	case f.Draining:
+		return errDraining
+	case f.Rules == nil:
+		return errNoRules
+	}
+	return nil
+}
+
+var (
+	errDraining = errors.New("draining")
+	errNoRules  = errors.New("no rules known yet")
+)
+
+// serveFronts serves readiness, the directory and metrics; the channel reports the first that ends.
+func (n *Node) serveFronts(ctx context.Context) (<-chan error, error) {
+	done := make(chan error, 3)
+	ready, directory := echo.New(), echo.New()
+	kctadapter.ServeReadiness(ready, n.ready)
+	kctadapter.ServeDirectory(directory, kctdirectory.New(n.self(), n.control))
+	for at, e := range map[netip.AddrPort]*echo.Echo{n.settings.Ready: ready, n.settings.Directory: directory} {
+		if err := listen(ctx, at, e, done); err != nil {
+			return nil, err
+		}
+	}
+	return done, nil
+}
+
+func (n *Node) self() kctport.EntryRecord {
+	return kctport.EntryRecord{ID: n.settings.ID, Zone: n.settings.Zone, Caller: n.settings.Caller, Peer: n.settings.Metrics}
+}
+
+// frontTimeout bounds the headers of a small request, and frontIdle an unused connection.
+const (
+	frontTimeout = 5 * time.Second
+	frontIdle    = time.Minute
+)
+
+func listen(ctx context.Context, at netip.AddrPort, handler http.Handler, done chan<- error) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", at.String())
+	if err != nil {
+		return eris.Wrapf(kctport.ErrUnavailable, "listen at %s: %v", at, err)
+	}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: frontTimeout, IdleTimeout: frontIdle, ErrorLog: klog.NewStandardLogger("WARNING")}
+	go func() { done <- s.Serve(l) }()
+	return nil
+}
+
+// drain leaves the directory, serves callers that still hold this entry's address and ends without cutting a request.
+func (n *Node) drain(ctx context.Context) error {
+	started := n.timer.Now()
+	klog.InfoS("entry draining", "id", n.settings.ID, "grace", n.settings.Grace)
+	n.control.Leave(ctx)
+	serve := n.settings.Grace - lastAnswers - exitReserve
+	n.pause(ctx, serve-windPeriod)
+	n.ingress.Wind()
+	n.pause(ctx, windPeriod)
+	left := n.settings.Grace - exitReserve - n.timer.Now().Sub(started)
+	ctx, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	return n.ingress.Shutdown(ctx)
+}
+
+func (n *Node) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-n.timer.After(ctx, d):
+	}
+}
--- /dev/null
+++ b/io/kctsetting/serve.go
@@ -0,0 +1,120 @@
+package kctsetting
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/rotisserie/eris"
+
+	kctport "kingcupturn"
+)
+
+// Serving are the checked settings of an entry on the users' platform.
+type Serving struct {
+	ID   kctport.InstanceID
+	Zone kctport.Zone
+	// Caller is the address for callers' requests, Ready for readiness checks, Directory for callers that ask where to connect.
+	Caller    netip.AddrPort
+	Ready     netip.AddrPort
+	Directory netip.AddrPort
+	Metrics   netip.AddrPort
+	// Store is the address of the platform's store.
+	Store netip.AddrPort
+	// Memory is the limit of the process in MiB.
+	Memory int
+	// Grace is the time between the request to stop and the end of the process.
+	Grace time.Duration
+	// Ratio and Slack bound extra attempts at a service over all entries: a share of its requests, and a number beyond it in one window.
+	Ratio float64
+	Slack float64
+}
+
+// The bounds and defaults of the serving settings; the platform's site files give the usual values.
+const (
+	minMemory     = 32
+	maxMemory     = 64 << 10
+	defaultMemory = 256
+	minGrace      = time.Second
+	maxGrace      = 5 * time.Minute
+	defaultGrace  = "6s"
+	defaultRatio  = 0.2
+	maxRatio      = 1
+	defaultSlack  = 50
+	maxSlack      = 1e6
+)
+
+// ServingValues holds the settings as text, so that all problems are found in one pass.
+type ServingValues struct {
+	id, zone, caller, ready, directory, metrics, store, grace string
+	memory                                                    int
+	ratio, slack                                              float64
+}
+
+// RegisterServing adds the flags of the settings to a flag set.
+func RegisterServing(set *flag.FlagSet) *ServingValues {
+	var v ServingValues
+	set.String("config", "", "JSON settings `file`; its fields are the names of these flags; unknown ones are ignored")
+	set.StringVar(&v.id, "id", "", "identifier of this instance")
+	set.StringVar(&v.zone, "zone", "", "availability zone of this instance")
+	set.StringVar(&v.caller, "caller", "", "`ip:port` for callers' requests")
+	set.StringVar(&v.ready, "ready", "", "`ip:port` for readiness checks")
+	set.StringVar(&v.directory, "directory", "", "`ip:port` for callers that ask where to connect")
+	set.StringVar(&v.metrics, "metrics", "", "`ip:port` for metrics")
+	set.StringVar(&v.store, "store", "", "`ip:port` of the platform's store")
+	set.StringVar(&v.grace, "grace", defaultGrace, "time between the request to stop and the end, 1s to 5m")
+	set.IntVar(&v.memory, "memory", defaultMemory, "memory limit of the process in MiB, 32 to 65536")
+	set.Float64Var(&v.ratio, "ratio", defaultRatio, "extra attempts at a service over all entries, as a share of its requests, 0 to 1")
+	set.Float64Var(&v.slack, "slack", defaultSlack, "extra attempts beyond the share in one window, 0 to 1000000")
+	return &v
+}
+
+// ServingOptions tells ff to read environment variables and the file that --config names.
+func ServingOptions() []ff.Option {
+	return []ff.Option{
+		ff.WithEnvVarPrefix("KINGCUPTURN"),
+		ff.WithConfigFileFlag("config"),
+		ff.WithConfigFileParser(ff.JSONParser),
+		ff.WithIgnoreUndefined(true),
+	}
+}
+
+// ParseServing reads the settings from arguments, KINGCUPTURN_ environment variables and the file that --config names.
+func ParseServing(args []string) (Serving, error) {
+	set := flag.NewFlagSet("serve", flag.ContinueOnError)
+	values := RegisterServing(set)
+	if err := ff.Parse(set, args, ServingOptions()...); err != nil {
+		return Serving{}, eris.Wrapf(kctport.ErrInvalid, "settings: %v", err)
+	}
+	return values.Check(set.Args())
+}
+
+// Check returns the settings, or ErrInvalid with every problem; args are the arguments left after the flags.
+func (v *ServingValues) Check(args []string) (Serving, error) {
+	var p problems
+	if len(args) > 0 {
+		p.add("arguments", fmt.Sprint(args), "none")
+	}
+	p.name("id", v.id)
+	p.name("zone", v.zone)
+	s := Serving{
+		ID: kctport.InstanceID(v.id), Zone: kctport.Zone(v.zone),
+		Caller: p.address("caller", v.caller), Ready: p.address("ready", v.ready), Directory: p.address("directory", v.directory),
+		Metrics: p.address("metrics", v.metrics), Store: p.address("store", v.store),
+		Memory: v.memory, Ratio: v.ratio, Slack: v.slack,
+		Grace: p.duration("grace", v.grace, minGrace, maxGrace),
+	}
+	p.between("memory", v.memory, minMemory, maxMemory)
+	p.share("ratio", v.ratio, maxRatio)
+	p.share("slack", v.slack, maxSlack)
+	return s, p.err()
+}
+
+// share accepts numbers from 0 to a bound.
+func (p *problems) share(field string, value, high float64) {
+	if !(value >= 0 && value <= high) {
+		p.add(field, fmt.Sprint(value), fmt.Sprintf("0 to %g", high))
+	}
+}
--- a/io/kctsetting/settings.go
+++ b/io/kctsetting/settings.go
@@ -155,12 +155,20 @@
 	p.choice("ownership", r.ownership, "owner", "direct")
 	p.choice("hedge", r.hedge, "adaptive", "fixed", "none")
 	p.choice("picker", r.picker, "load", "robin")
-	if len(p) > 0 {
-		return Settings{}, eris.Wrap(kctport.ErrInvalid, "settings: "+strings.Join(p, "; "))
+	if err := p.err(); err != nil {
+		return Settings{}, err
 	}
 	return s, nil
 }
 
+// err is ErrInvalid with every problem, nil without one.
+func (p problems) err() error {
+	if len(p) == 0 {
+		return nil
+	}
+	return eris.Wrap(kctport.ErrInvalid, "settings: "+strings.Join(p, "; "))
+}
+
 func (p *problems) name(field, value string) {
 	if value == "" || strings.ContainsAny(value, " /\t\n") || len(value) > 64 {
 		p.add(field, value, "1 to 64 characters without spaces and slashes")
--- /dev/null
+++ b/server.go
@@ -0,0 +1,112 @@
+package kctport
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Server is an endpoint as it registered itself in the platform's store.
+type Server struct {
+	ID      InstanceID
+	Service ServiceName
+	Address netip.AddrPort
+	Zone    Zone
+	Version VersionName
+	// Slots is the number of requests that run at the same time.
+	Slots int
+	// Leaving is set once the endpoint has announced its shutdown.
+	Leaving bool
+	// Cold is how much longer the endpoint stayed cold when the entry was written.
+	Cold time.Duration
+	// Started tells two lives of one identifier apart; zero when not stated.
+	Started time.Time
+}
+
+// EntryRecord is what an entry says of itself in the platform's store.
+type EntryRecord struct {
+	ID     InstanceID
+	Zone   Zone
+	Caller netip.AddrPort
+	Peer   netip.AddrPort
+	// Leaving is set while the entry shuts down.
+	Leaving bool
+}
+
+// StoreRevision numbers the changes of the platform's store.
+type StoreRevision uint64
+
+// RecordKind says which record a change concerns.
+type RecordKind int
+
+// The kinds of records in the platform's store.
+const (
+	// RecordOther is a key that has no meaning for the tier.
+	RecordOther RecordKind = iota
+	RecordRules
+	RecordServer
+	RecordZoneOut
+	RecordEntry
+	RecordMove
+)
+
+// RegistryChange is one record of the store as it stands after a change.
+type RegistryChange struct {
+	Kind     RecordKind
+	Key      string
+	Revision StoreRevision
+	Deleted  bool
+	// Problem says why a record can't be used; it then stands for no record.
+	Problem string
+	Rules   *Rules
+	Server  *Server
+	Zone    Zone
+	Entry   *EntryRecord
+	Move    *MoveOrder
+}
+
+// MoveOrder asks that the traffic of a service moves to a version within a duration.
+type MoveOrder struct {
+	Service  ServiceName
+	To       VersionName
+	Duration time.Duration
+}
+
+// RegistryState is everything that the store holds for the tier, as of a revision from which watching can go on.
+type RegistryState struct {
+	Changes  []RegistryChange
+	Revision StoreRevision
+}
+
+// FleetServer is an endpoint that may get work, with what control knows of it.
+type FleetServer struct {
+	Server
+	// ColdUntil is when the endpoint stops being cold; zero when it isn't.
+	ColdUntil time.Time
+}
+
+// RouteTable finds the route of a request.
+type RouteTable interface {
+	// Match returns nil when no route allows the request.
+	Match(host, path string) *Route
+}
+
+// Fleet is an immutable picture of the routing rules, endpoints and entries for traffic.
+type Fleet struct {
+	// Rules is nil until the first version is known.
+	Rules *Rules
+	Table RouteTable
+	// Servers holds the endpoints that may get work.
+	Servers map[ServiceName][]*FleetServer
+	Entries []EntryRecord
+	// Sharers is the number of entries among which fleet-wide limits are divided; it counts entries that may only be silent.
+	Sharers int
+	// Contact is when the store was last heard.
+	Contact time.Time
+	// Draining is set while this entry shuts down.
+	Draining bool
+}
+
+// Fleets gives traffic the current picture; it is never nil.
+type Fleets interface {
+	Fleet() *Fleet
+}
