--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -159,15 +159,10 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	useful := false
-	var awaySince time.Time
+	away := outage{patience: awayPatience}
 	take := func(f kctport.FeedUpdate) {
 		now := c.timer.Now()
-		switch {
-		case !f.Away:
-			useful, awaySince = true, time.Time{}
-		case awaySince.IsZero():
-			awaySince = now
-		case now.Sub(awaySince) > awayPatience:
+		if useful = useful || !f.Away; away.lasts(now, f.Away) && c.storeInReach(ctx) {
 			cancel(errLookElsewhere)
 		}
 		c.update(ctx, func(s *state, now time.Time) []event { return s.fed(now, f) })
@@ -186,6 +181,32 @@
 	return useful
 }
 
+// outage follows how long a reader has been without the store.
+type outage struct {
+	since    time.Time
+	patience time.Duration
+}
+
+// lasts reports an outage that has taken longer than the patience, which doubles then: when the store is out for all, asking it is wasted.
+func (o *outage) lasts(now time.Time, away bool) bool {
+	switch {
+	case !away:
+		*o = outage{patience: awayPatience}
+	case o.since.IsZero():
+		o.since = now
+	case now.Sub(o.since) > o.patience:
+		o.since, o.patience = now, 2*o.patience
+		return true
+	}
+	return false
+}
+
+// storeInReach asks whether this entry reaches the store when its reader doesn't.
+func (c *Controller) storeInReach(ctx context.Context) bool {
+	_, err := c.registry.Readers(ctx)
+	return err == nil
+}
+
 // fed applies a reader's update.
 func (s *state) fed(now time.Time, f kctport.FeedUpdate) []event {
 	var events []event
--- a/io/kctfeed/message.go
+++ b/io/kctfeed/message.go
@@ -36,21 +36,17 @@
 	}, nil
 }
 
-func encodeUpdate(f kctport.FeedUpdate) *kctproto.FeedUpdate {
-	m := &kctproto.FeedUpdate{Full: f.Full, Away: f.Away, Age: int64(f.Age)}
-	for _, c := range f.Changes {
-		m.Records = append(m.Records, &kctproto.FeedRecord{Key: c.Key, Revision: uint64(c.Revision), Value: c.Value, Deleted: c.Deleted})
-	}
-	for _, member := range f.Members {
-		m.Members = append(m.Members, &kctproto.FeedMember{Origin: string(member.Origin), Entry: encodeEntry(member.Entry), Gone: member.Gone})
-	}
-	return m
-}
-
 func decodeUpdate(m *kctproto.FeedUpdate, decode Decoder) (kctport.FeedUpdate, error) {
 	f := kctport.FeedUpdate{Full: m.GetFull(), Away: m.GetAway(), Age: time.Duration(m.GetAge())}
 	for _, r := range m.GetRecords() {
-		f.Changes = append(f.Changes, decode(r.GetKey(), r.GetValue(), kctport.StoreRevision(r.GetRevision()), r.GetDeleted()))
+		value := r.GetValue()
+		if r.GetCompressed() {
+			var err error
+			if value, err = decompress(value); err != nil {
+				return f, eris.Wrapf(kctport.ErrInvalid, "value of %s: %v", r.GetKey(), err)
+			}
+		}
+		f.Changes = append(f.Changes, decode(r.GetKey(), value, kctport.StoreRevision(r.GetRevision()), r.GetDeleted()))
 	}
 	for _, member := range m.GetMembers() {
 		e, err := decodeEntry(member.GetEntry())
--- a/io/kctfeed/server.go
+++ b/io/kctfeed/server.go
@@ -19,11 +19,12 @@
 type Server struct {
 	address netip.AddrPort
 	source  kctport.FeedSource
+	encoder *encoder
 }
 
 // NewServer returns a server that isn't listening yet.
 func NewServer(address netip.AddrPort, source kctport.FeedSource) *Server {
-	return &Server{address: address, source: source}
+	return &Server{address: address, source: source, encoder: newEncoder()}
 }
 
 // Start listens until the context ends; the channel closes when all feeds have ended.
@@ -89,7 +90,7 @@
 	go func() {
 		defer close(writing)
 		defer session.Close()
-		write(st, subscription.Updates())
+		s.write(st, subscription.Updates())
 	}()
 	for err == nil {
 		if entry, err = receiveHello(st); err == nil {
@@ -111,9 +112,9 @@
 }
 
 // write passes updates on until the subscription or the stream ends; the reading side then ends too.
-func write(st *stream, updates <-chan kctport.FeedUpdate) {
+func (s *Server) write(st *stream, updates <-chan kctport.FeedUpdate) {
 	for f := range updates {
-		if err := st.send(encodeUpdate(f)); err != nil {
+		if err := st.send(s.encoder.update(f)); err != nil {
 			return
 		}
 	}
