Let an entry that starts load the store itself; never take an empty picture for a complete one

Change: an entry without a picture says so and its subscribers look elsewhere at once; a failed claim is followed by other sources without a pause; readers that failed lately are tried last; a full picture that is older than the own one removes nothing.

--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -17,7 +17,7 @@
 	// jitter keeps entries with the same picture from choosing the same endpoint.
 	jitter = 0.15
 	// stuckFactor is how many usual latencies an attempt may be pending before its endpoint is taken to be paused.
-	stuckFactor = 3.0
+	stuckFactor = 1.5
 	// pendingWeight is the cost of one pending attempt, in usual latencies.
 	pendingWeight = 0.6
 	// loadWeight is the cost of a full endpoint, in usual latencies.
@@ -106,7 +106,7 @@
 	}
 	b.number++
 	e.pending[b.number] = now
-	return &Attempt{Server: best, Connections: connections(rule, fleet.Sharers), route: choice.Route, number: b.number, start: now}
+	return &Attempt{Server: best, Connections: connections(rule, fleet.Senders), route: choice.Route, number: b.number, start: now}
 }
 
 // connections is this entry's share of an endpoint's connections, at least one.
--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -40,6 +40,8 @@
 	random  *rand.Rand
 	// claimed is when the source goroutine last tried to become the zone's reader.
 	claimed time.Time
+	// failures is when the source goroutine last lost each reader's feed.
+	failures map[kctport.InstanceID]time.Time
 
 	published []func(*kctport.Fleet)
 	// The control goroutine alone uses what follows.
@@ -71,8 +73,9 @@
 	c := &Controller{
 		self: self, registry: registry, feed: feed, timer: timer, log: log, inbox: make(chan update), stopped: make(chan struct{}),
 		load: func() float64 { return 0 }, random: rand.New(rand.NewPCG(1, 1)), subscribers: map[*subscription]bool{},
+		failures: map[kctport.InstanceID]time.Time{},
 	}
-	c.fleet.Store(&kctport.Fleet{Sharers: 1})
+	c.fleet.Store(&kctport.Fleet{Sharers: 1, Senders: 1})
 	c.readers.Store(&[]kctport.EntryRecord{})
 	for _, o := range opts {
 		o(c)
--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -9,7 +9,7 @@
 
 const (
 	// feedInterval is how often subscribers hear from this entry when nothing changes.
-	feedInterval = 500 * time.Millisecond
+	feedInterval = 400 * time.Millisecond
 	// feedBacklog is the number of updates that may wait for a slow subscriber; at one batch of changes in 150 ms that is 10 s.
 	feedBacklog = 64
 )
@@ -20,16 +20,18 @@
 	updates chan kctport.FeedUpdate
 	entry   kctport.EntryRecord
 	ended   bool
+	// told is set once the subscriber has the full picture.
+	told bool
 }
 
 var _ kctport.FeedSource = (*Controller)(nil)
 
-// Subscribe registers an entry; its first update is full.
+// Subscribe registers an entry; it gets the full picture as soon as this entry has one.
 func (c *Controller) Subscribe(ctx context.Context, entry kctport.EntryRecord) kctport.FeedSubscription {
 	u := &subscription{control: c, updates: make(chan kctport.FeedUpdate, feedBacklog), entry: entry}
 	registered := c.update(ctx, func(s *state, now time.Time) []event {
 		c.subscribers[u] = true
-		u.updates <- s.full(now)
+		u.updates <- u.first(s, now)
 		s.members.set(kctport.FeedMember{Origin: s.self.ID, Entry: entry})
 		return []event{{what: "entry subscribed", key: string(entry.ID)}}
 	})
@@ -83,6 +85,15 @@
 	return []event{{what: "entry unsubscribed", key: string(u.entry.ID)}}
 }
 
+// first is the full picture, or while this entry has none the news that it doesn't reach the store.
+func (u *subscription) first(s *state, now time.Time) kctport.FeedUpdate {
+	if s.contact.IsZero() {
+		return kctport.FeedUpdate{Away: true, Age: s.age(now)}
+	}
+	u.told = true
+	return s.full(now)
+}
+
 // full is the first update of a subscriber.
 func (s *state) full(now time.Time) kctport.FeedUpdate {
 	f := kctport.FeedUpdate{Full: true, Away: s.away, Age: s.age(now), Members: s.members.full()}
@@ -114,8 +125,12 @@
 	c.nextBeat, c.toldAway = now.Add(feedInterval), s.away
 	f := kctport.FeedUpdate{Changes: changes, Members: news, Away: s.away, Age: s.age(now)}
 	for u := range c.subscribers {
+		g := f
+		if !u.told {
+			g = u.first(s, now)
+		}
 		select {
-		case u.updates <- f:
+		case u.updates <- g:
 		default:
 			for _, e := range c.end(s, u) {
 				c.log.Believe("subscriber too slow", e.key, "", 0)
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -1,8 +1,10 @@
 package kctfleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	kctport "kingcupturn"
@@ -25,6 +27,10 @@
 	soloTime = 3 * time.Second
 	// awayPatience is how long a reader may be without the store before its subscribers look for a better one.
 	awayPatience = 1200 * time.Millisecond
+	// failureMemory is how long a reader whose feed broke is tried last; its record stays in the store for as long.
+	failureMemory = leaseTime
+	// staleReader is how much older than this entry's picture a reader's may be to count as complete.
+	staleReader = time.Second
 	// surveyInterval is how often a subscriber looks at its situation.
 	surveyInterval = 250 * time.Millisecond
 )
@@ -39,12 +45,11 @@
 		readers, err := c.knownReaders(ctx)
 		if err == nil && c.vacant(readers) {
 			c.claimed = c.timer.Now()
-			if !c.lead(ctx) {
-				c.spread(ctx, startSpread)
+			if c.lead(ctx) {
+				continue
 			}
-			continue
 		}
-		if c.subscribe(ctx, readers) {
+		if c.subscribe(ctx, readers, err != nil) {
 			continue
 		}
 		if err != nil {
@@ -139,30 +144,44 @@
 	c.follow(ctx)
 }
 
-// subscribe follows the nearest reader that works; it is false when none did.
-func (c *Controller) subscribe(ctx context.Context, readers []kctport.EntryRecord) bool {
-	for _, near := range []bool{true, false} {
-		for _, r := range readers {
-			if r.ID == c.self.ID || (r.Zone == c.self.Zone) != near {
-				continue
-			}
-			if c.subscribeAt(ctx, r) {
-				return true
-			}
+// subscribe follows the nearest reader that works; it is false when none did. A reader that is itself without the store
+// is accepted when this entry is too.
+func (c *Controller) subscribe(ctx context.Context, readers []kctport.EntryRecord, away bool) bool {
+	for _, r := range c.ranked(readers) {
+		if c.subscribeAt(ctx, r, away) {
+			return true
 		}
 	}
 	return false
 }
 
-// subscribeAt follows one reader and reports whether it gave at least one update with the store in reach.
-func (c *Controller) subscribeAt(ctx context.Context, reader kctport.EntryRecord) bool {
+// ranked orders the other readers: those that failed lately last, else the own zone's first.
+func (c *Controller) ranked(readers []kctport.EntryRecord) []kctport.EntryRecord {
+	now := c.timer.Now()
+	rank := func(r kctport.EntryRecord) int {
+		switch at, ok := c.failures[r.ID]; {
+		case ok && now.Sub(at) < failureMemory:
+			return 2
+		case r.Zone != c.self.Zone:
+			return 1
+		}
+		return 0
+	}
+	others := slices.DeleteFunc(slices.Clone(readers), func(r kctport.EntryRecord) bool { return r.ID == c.self.ID })
+	slices.SortStableFunc(others, func(a, b kctport.EntryRecord) int { return cmp.Compare(rank(a), rank(b)) })
+	return others
+}
+
+// subscribeAt follows one reader and reports whether it was of use.
+func (c *Controller) subscribeAt(ctx context.Context, reader kctport.EntryRecord, acceptAway bool) bool {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	useful := false
 	away := outage{patience: awayPatience}
 	take := func(f kctport.FeedUpdate) {
 		now := c.timer.Now()
-		if useful = useful || !f.Away; away.lasts(now, f.Away) && c.storeInReach(ctx) {
+		useful = useful || !f.Away || acceptAway && f.Full
+		if !useful && !acceptAway || away.lasts(now, f.Away) && c.storeInReach(ctx) {
 			cancel(errLookElsewhere)
 		}
 		c.update(ctx, func(s *state, now time.Time) []event { return s.fed(now, f) })
@@ -172,10 +191,13 @@
 		}
 	}
 	err := c.feed.Follow(ctx, reader, c.Self, take)
+	if ctx.Err() == nil {
+		c.failures[reader.ID] = c.timer.Now()
+	}
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errLookElsewhere) {
 		c.log.Believe("feed ended", string(reader.ID), errors.Join(context.Cause(ctx), err).Error(), 0)
 	}
-	if errors.Is(context.Cause(ctx), errLookElsewhere) {
+	if useful && errors.Is(context.Cause(ctx), errLookElsewhere) {
 		c.spread(context.WithoutCancel(ctx), claimSpread)
 	}
 	return useful
@@ -216,7 +238,14 @@
 		events = s.heard(now, f.Age)
 	}
 	if f.Full {
-		events = append(events, s.load(now, f.Changes)...)
+		if now.Add(-f.Age).Before(s.contact.Add(-staleReader)) {
+			// The reader has been without the store for longer than this entry, so that what it lacks may be new.
+			for _, change := range f.Changes {
+				events = append(events, s.apply(now, change)...)
+			}
+		} else {
+			events = append(events, s.load(now, f.Changes)...)
+		}
 		if s.members.replace(f.Members, func(origin kctport.InstanceID) bool { return origin != s.self.ID }) {
 			events = append(events, event{})
 		}
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -194,9 +194,18 @@
 	}
 	f.Sharers = len(s.sharers)
 	f.Active = s.active.choose(f.Entries)
+	f.Senders = s.senders(f)
 	return f
 }
 
+// senders counts the active entries and one that may just have been one; an entry without callers takes a smaller share.
+func (s *state) senders(f *kctport.Fleet) int {
+	if slices.ContainsFunc(f.Active, func(e kctport.EntryRecord) bool { return e.ID == s.self.ID }) {
+		return min(f.Sharers, len(f.Active)+1)
+	}
+	return f.Sharers
+}
+
 func (s *state) zonesOut() map[kctport.Zone]bool {
 	out := map[kctport.Zone]bool{}
 	for _, r := range s.records {
--- a/io/kctfeed/stream.go
+++ b/io/kctfeed/stream.go
@@ -14,9 +14,9 @@
 
 const (
 	// beatInterval is how often a subscriber writes its record.
-	beatInterval = 500 * time.Millisecond
+	beatInterval = 400 * time.Millisecond
 	// quietTimeout ends a feed on which three beats were missed; a connection may go silent without an end.
-	quietTimeout = 1600 * time.Millisecond
+	quietTimeout = 1300 * time.Millisecond
 	// writeTimeout bounds a write to a peer that doesn't read.
 	writeTimeout = time.Second
 	// dialTimeout bounds a new connection; entries are a few milliseconds apart.
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -78,7 +78,7 @@
 
 // follow brings the traffic policies up to date with a new picture.
 func (n *Node) follow(f *kctport.Fleet) {
-	n.policies.Budget.Update(n.budgetSettings(), f.Sharers)
+	n.policies.Budget.Update(n.budgetSettings(), f.Senders)
 	n.policies.Balancer.Forget(f)
 	if f.Rules == nil {
 		return
--- a/server.go
+++ b/server.go
@@ -96,6 +96,8 @@
 	Active []EntryRecord
 	// Sharers is the number of entries among which fleet-wide limits are divided; it counts entries that may only be silent.
 	Sharers int
+	// Senders is the number of entries that share what only entries with callers use: connections and saved extra attempts.
+	Senders int
 	// Contact is when the store was last heard.
 	Contact time.Time
 	// Draining is set while this entry shuts down.
