--- a/core/kctfleet/members.go
+++ b/core/kctfleet/members.go
@@ -11,6 +11,10 @@
 // originHold keeps the members of a reader that is no longer heard while they subscribe elsewhere.
 const originHold = 2 * time.Second
 
+// sourceHold is added while this entry looks for another source. An entry that died in the same moment is still out of the directory
+// within the users' bound of 7 s.
+const sourceHold = 2500 * time.Millisecond
+
 // members are the entries that are known to be alive, each under the reader at which it is subscribed.
 type members struct {
 	self    kctport.InstanceID
@@ -72,11 +76,20 @@
 
 // lose notes that an origin is no longer heard.
 func (m *members) lose(origin kctport.InstanceID, now time.Time) {
-	if len(m.origins[origin]) > 0 {
+	if _, ok := m.unheard[origin]; !ok && len(m.origins[origin]) > 0 {
 		m.unheard[origin] = now
 	}
 }
 
+// loseAll notes that no origin but this entry is heard any more, until another source names them.
+func (m *members) loseAll(now time.Time) {
+	for origin := range m.origins {
+		if origin != m.self {
+			m.lose(origin, now.Add(sourceHold))
+		}
+	}
+}
+
 // expire drops the members of origins that stayed unheard.
 func (m *members) expire(now time.Time) []event {
 	var events []event
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -48,6 +48,8 @@
 			if c.lead(ctx) {
 				continue
 			}
+			// Another entry was faster.
+			readers, err = c.knownReaders(ctx)
 		}
 		if c.subscribe(ctx, readers, err != nil) {
 			continue
@@ -136,12 +138,38 @@
 	}
 }
 
-// solo follows the store without being a reader, for some time.
+// solo follows the store without being a reader, until there is a reader to try or the zone can be claimed, at most for some time.
 func (c *Controller) solo(ctx context.Context) {
 	c.log.Believe("following the store alone", string(c.self.ID), "no reader can be reached", 0)
 	ctx, cancel := context.WithTimeout(ctx, soloTime)
 	defer cancel()
-	c.follow(ctx)
+	follower := make(chan struct{})
+	go func() {
+		defer close(follower)
+		c.follow(ctx)
+	}()
+	ticks := c.timer.Subscribe(ctx, surveyInterval)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case now := <-ticks:
+			readers := *c.readers.Load()
+			if c.vacant(readers) && now.Sub(c.claimed) > claimInterval || c.untried(readers) {
+				cancel()
+			}
+		}
+	}
+	<-follower
+}
+
+// untried reports whether there is a reader that did not fail lately.
+func (c *Controller) untried(readers []kctport.EntryRecord) bool {
+	return slices.ContainsFunc(readers, func(r kctport.EntryRecord) bool { return r.ID != c.self.ID && !c.failedLately(r) })
+}
+
+func (c *Controller) failedLately(r kctport.EntryRecord) bool {
+	at, ok := c.failures[r.ID]
+	return ok && c.timer.Now().Sub(at) < failureMemory
 }
 
 // subscribe follows the nearest reader that works; it is false when none did. A reader that is itself without the store
@@ -157,10 +185,9 @@
 
 // ranked orders the other readers: those that failed lately last, else the own zone's first.
 func (c *Controller) ranked(readers []kctport.EntryRecord) []kctport.EntryRecord {
-	now := c.timer.Now()
 	rank := func(r kctport.EntryRecord) int {
-		switch at, ok := c.failures[r.ID]; {
-		case ok && now.Sub(at) < failureMemory:
+		switch {
+		case c.failedLately(r):
 			return 2
 		case r.Zone != c.self.Zone:
 			return 1
@@ -191,9 +218,13 @@
 		}
 	}
 	err := c.feed.Follow(ctx, reader, c.Self, take)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil || !useful {
 		c.failures[reader.ID] = c.timer.Now()
 	}
+	c.update(context.WithoutCancel(ctx), func(s *state, now time.Time) []event {
+		s.members.loseAll(now)
+		return nil
+	})
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errLookElsewhere) {
 		c.log.Believe("feed ended", string(reader.ID), errors.Join(context.Cause(ctx), err).Error(), 0)
 	}
