--- a/core/kctbalance/endpoint.go
+++ b/core/kctbalance/endpoint.go
@@ -11,7 +11,7 @@
 	// slownessWeight is the weight of one attempt in the moving average: one pause of an endpoint doesn't exclude it, a lasting slowdown shows after a few attempts.
 	slownessWeight = 0.25
 	// slownessHalfLife lets an endpoint that gets no work be tried again.
-	slownessHalfLife = 3 * time.Second
+	slownessHalfLife = 2 * time.Second
 	// maxSlowness bounds one sample, so that a single pause is forgotten soon.
 	maxSlowness = 6.0
 	// minSlowness bounds the preference for a fast endpoint.
--- a/core/kctforward/decide.go
+++ b/core/kctforward/decide.go
@@ -38,6 +38,11 @@
 		if p.failed == nil && r.response.Signature != "" {
 			p.failed = &r.response
 		}
+		if r.response.Status < statusServerError && len(c.route.Gather) == 0 && p.failed != nil {
+			// Another endpoint would say the same of the request.
+			p.wake = time.Time{}
+			return
+		}
 		c.repeat(p)
 	}
 }
@@ -83,6 +88,8 @@
 	switch {
 	case p.response != nil:
 		return endpointReply(p.response), true
+	case p.failed != nil && p.failed.Status < statusServerError:
+		return endpointReply(p.failed), true
 	case p.pending > 0 && !over:
 		return kctport.Reply{}, false
 	case p.failed != nil:
--- a/core/kctforward/engine.go
+++ b/core/kctforward/engine.go
@@ -100,6 +100,7 @@
 const (
 	statusOK          = 200
 	statusNotFound    = 404
+	statusServerError = 500
 	statusBadGateway  = 502
 	statusUnavailable = 503
 	statusTimeout     = 504
--- /dev/null
+++ b/core/kctforward/engine_test.go
@@ -0,0 +1,264 @@
+package kctforward_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	kctport "kingcupturn"
+	"kingcupturn/core/kctbalance"
+	"kingcupturn/core/kctforward"
+	"kingcupturn/core/kctroutes"
+	"kingcupturn/io/kcttimer"
+)
+
+// answer is what one endpoint does with each request.
+type answer struct {
+	after    time.Duration
+	response kctport.Response
+	err      error
+}
+
+// endpoints are the scripted endpoints of a test; a call takes the first answer that is left.
+type endpoints struct {
+	mu      sync.Mutex
+	answers map[kctport.InstanceID][]answer
+	calls   []kctport.InstanceID
+	ran     int
+}
+
+func (e *endpoints) Exchange(ctx context.Context, s *kctport.Server, _ *kctport.Message, o kctport.ExchangeOptions) (kctport.Response, error) {
+	e.mu.Lock()
+	e.calls = append(e.calls, s.ID)
+	a := good(s.ID)
+	if list := e.answers[s.ID]; len(list) > 0 {
+		a = list[0]
+		if len(list) > 1 {
+			e.answers[s.ID] = list[1:]
+		}
+	}
+	e.mu.Unlock()
+	o.Sent()
+	select {
+	case <-time.After(a.after):
+	case <-ctx.Done():
+		return kctport.Response{}, kctport.ErrTimeout
+	}
+	if a.err == nil && !a.response.NotRun {
+		e.mu.Lock()
+		e.ran++
+		e.mu.Unlock()
+	}
+	return a.response, a.err
+}
+
+func good(id kctport.InstanceID) answer {
+	body := bytes.Repeat([]byte{id[len(id)-1]}, 16)
+	return answer{after: 5 * time.Millisecond, response: kctport.Response{Status: 200, Signature: "of-" + string(id), Body: body}}
+}
+
+func status(code int, notRun bool) answer {
+	return answer{after: time.Millisecond, response: kctport.Response{Status: code, Signature: "x", NotRun: notRun}}
+}
+
+func broken(err error) answer { return answer{after: time.Millisecond, err: err} }
+
+func slow(id kctport.InstanceID, d time.Duration) answer {
+	a := good(id)
+	a.after = d
+	return a
+}
+
+type fleets struct{ fleet *kctport.Fleet }
+
+func (f *fleets) Fleet() *kctport.Fleet { return f.fleet }
+
+type stories struct{ last *kctforward.Story }
+
+func (s *stories) Answered(story *kctforward.Story) { s.last = story }
+
+// fleet has the named services with two endpoints each, called service-1 and service-2.
+func fleet(route kctport.Route, services ...string) *kctport.Fleet {
+	r := &kctport.Rules{Version: 1, Routes: []kctport.Route{route}, Services: map[kctport.ServiceName]kctport.ServiceRule{}}
+	f := &kctport.Fleet{Rules: r, Table: kctroutes.NewTable(r), Servers: map[kctport.ServiceName][]*kctport.FleetServer{}, Sharers: 1, Senders: 1, Contact: time.Now()}
+	for _, s := range services {
+		name := kctport.ServiceName(s)
+		r.Services[name] = kctport.ServiceRule{Name: name, Connections: 10}
+		for i := range 2 {
+			id := kctport.InstanceID(fmt.Sprintf("%s-%d", s, i+1))
+			f.Servers[name] = append(f.Servers[name], &kctport.FleetServer{Server: kctport.Server{ID: id, Service: name}})
+		}
+	}
+	return f
+}
+
+// ask sends one request through a new engine.
+func ask(t *testing.T, f *kctport.Fleet, e *endpoints) (kctport.Reply, *kctforward.Story) {
+	t.Helper()
+	settings := kctbalance.BudgetSettings{Ratio: 0.2, Slack: 100}
+	seen := &stories{}
+	engine := kctforward.NewEngine(&fleets{f}, kcttimer.New(), e, kctforward.Policies{
+		Balancer: kctbalance.New("", 1), Budget: kctbalance.NewBudget(settings),
+		Delays: kctbalance.NewDelays(), Splitter: kctroutes.NewSplitter(),
+	}, seen)
+	now := time.Now()
+	reply := engine.Forward(t.Context(), &kctport.Message{ID: "1", Method: "GET", Host: "h", Path: "/a/b", Received: now, Deadline: now.Add(time.Second)})
+	return reply, seen.last
+}
+
+func single(idempotent bool) kctport.Route {
+	return kctport.Route{
+		Name: "r", Host: "h", Prefix: "/a/", Targets: []kctport.Target{{Service: "s", Weight: 1}}, Idempotent: idempotent,
+		Timeout: time.Second, Objective: 100 * time.Millisecond, Attempts: 2,
+	}
+}
+
+func gather(services ...kctport.ServiceName) kctport.Route {
+	r := single(true)
+	r.Targets, r.Gather, r.Top, r.MinCoverage = nil, services, 3, 0.6
+	return r
+}
+
+// TestSingle guards against a request that runs twice though it may not, a refusal that is not true, and an answer that is not the endpoint's.
+func TestSingle(t *testing.T) {
+	both := func(a answer) map[kctport.InstanceID][]answer {
+		return map[kctport.InstanceID][]answer{"s-1": {a}, "s-2": {a}}
+	}
+	for name, c := range map[string]struct {
+		idempotent bool
+		answers    map[kctport.InstanceID][]answer
+		status     int
+		ran        int
+		calls      int
+	}{
+		"served":                            {true, nil, 200, 1, 1},
+		"reset, may be repeated":            {true, both(broken(kctport.ErrReset)), 502, 0, 2},
+		"reset, may not be repeated":        {false, both(broken(kctport.ErrReset)), 502, 0, 1},
+		"silent, may not be repeated":       {false, both(slow("s-1", time.Minute)), 504, 0, 1},
+		"slow, may not be hedged":           {false, both(slow("s-1", 500*time.Millisecond)), 200, 1, 1},
+		"slow, hedged":                      {true, both(slow("s-1", 500*time.Millisecond)), 200, 2, 2},
+		"not sent, may not be repeated":     {false, both(broken(errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable))), 503, 0, -1},
+		"refused by all":                    {false, both(status(503, true)), 503, 0, -1},
+		"own failure, may not be repeated":  {false, both(status(500, false)), 500, 1, 1},
+		"own failure, may be repeated":      {true, both(status(500, false)), 500, 2, 2},
+		"client error is the final answer":  {true, both(status(404, false)), 404, 1, 1},
+		"answers of others, not repeatable": {false, both(broken(kctport.ErrMismatch)), 502, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &endpoints{answers: c.answers}
+				reply, _ := ask(t, fleet(single(c.idempotent), "s"), e)
+				// Attempts may outlive the answer.
+				time.Sleep(2 * time.Minute)
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				if reply.Status != c.status || e.ran != c.ran || c.calls >= 0 && len(e.calls) != c.calls {
+					t.Errorf("status %d after %d calls of which %d ran; want %d, %d, %d", reply.Status, len(e.calls), e.ran, c.status, c.calls, c.ran)
+				}
+			})
+		})
+	}
+}
+
+// TestRefusals guards against a 404 for a route that may only be unknown here.
+func TestRefusals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleet(kctport.Route{Host: "other", Prefix: "/"}, "s")
+		if reply, _ := ask(t, f, &endpoints{}); reply.Status != 404 {
+			t.Errorf("status %d for no route, want 404", reply.Status)
+		}
+		time.Sleep(time.Minute)
+		if reply, _ := ask(t, f, &endpoints{}); reply.Status != 503 || reply.RetryAfter <= 0 {
+			t.Errorf("%+v for no route in old rules, want 503", reply)
+		}
+		if reply, _ := ask(t, &kctport.Fleet{}, &endpoints{}); reply.Status != 503 {
+			t.Errorf("status %d without rules, want 503", reply.Status)
+		}
+	})
+}
+
+// TestGather guards against a wrong count of missing shards, a success below the coverage, and an answer that waits for a straggler beyond its objective.
+func TestGather(t *testing.T) {
+	never := slow("x-1", time.Minute)
+	for name, c := range map[string]struct {
+		answers map[kctport.InstanceID][]answer
+		status  int
+		missing int
+		within  time.Duration
+		body    string
+	}{
+		"whole":    {nil, 200, 0, 10 * time.Millisecond, "222"},
+		"straggle": {map[kctport.InstanceID][]answer{"x-1": {never}, "x-2": {never}}, 200, 1, 100 * time.Millisecond, "22"},
+		"too few": {map[kctport.InstanceID][]answer{
+			"x-1": {never}, "x-2": {never}, "y-1": {never}, "y-2": {never},
+		}, 504, 0, time.Second, ""},
+		"failures are no parts": {map[kctport.InstanceID][]answer{"x-1": {status(500, false)}, "x-2": {status(500, false)}}, 200, 1, 100 * time.Millisecond, "22"},
+		"shed everywhere": {map[kctport.InstanceID][]answer{
+			"x-1": {status(503, true)}, "x-2": {status(503, true)}, "y-1": {status(503, true)}, "y-2": {status(503, true)},
+			"z-1": {status(503, true)}, "z-2": {status(503, true)},
+		}, 503, 0, time.Second, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				// The endpoints called 1 are picked less often, so that bodies are of those called 2.
+				f := fleet(gather("x", "y", "z"), "x", "y", "z")
+				for _, s := range []kctport.ServiceName{"x", "y", "z"} {
+					f.Servers[s][0].ColdUntil = time.Now().Add(time.Hour)
+				}
+				reply, story := ask(t, f, &endpoints{answers: c.answers})
+				if reply.Status != c.status || reply.Missing != c.missing || story.End.Sub(story.Start) > c.within {
+					t.Errorf("status %d, %d missing after %v; want %d, %d, %v: %s", reply.Status, reply.Missing, story.End.Sub(story.Start), c.status, c.missing, c.within, reply.Reason)
+				}
+				if reply.Status == 200 && len(reply.Signatures)+reply.Missing != 3 {
+					t.Errorf("%d signatures and %d missing of 3 shards", len(reply.Signatures), reply.Missing)
+				}
+				if got := string(reply.Body); reply.Status == 200 && len(got) != 16*len(c.body) {
+					t.Errorf("body of %d bytes, want %d records", len(got), len(c.body))
+				}
+				time.Sleep(2 * time.Minute)
+			})
+		})
+	}
+}
+
+// TestHopelessGather guards against work for a query whose shards have no endpoints, and against a refusal that comes late.
+func TestHopelessGather(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &endpoints{}
+		f := fleet(gather("x", "y", "z"), "x")
+		reply, _ := ask(t, f, e)
+		if reply.Status != 503 || len(e.calls) != 0 {
+			t.Errorf("status %d after %d calls, want 503 after none", reply.Status, len(e.calls))
+		}
+	})
+}
+
+// TestCallerLeaves guards against new work for a caller that has left, and against endpoints that work on for it.
+func TestCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := fleet(single(true), "s")
+		hang := slow("s-1", time.Minute)
+		e := &endpoints{answers: map[kctport.InstanceID][]answer{"s-1": {hang}, "s-2": {hang}}}
+		seen := &stories{}
+		engine := kctforward.NewEngine(&fleets{f}, kcttimer.New(), e, kctforward.Policies{
+			Balancer: kctbalance.New("", 1), Budget: kctbalance.NewBudget(kctbalance.BudgetSettings{Ratio: 0.2, Slack: 100}),
+			Delays: kctbalance.NewDelays(), Splitter: kctroutes.NewSplitter(),
+		}, seen)
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		now := time.Now()
+		engine.Forward(ctx, &kctport.Message{ID: "1", Host: "h", Path: "/a/", Received: now, Deadline: now.Add(time.Hour)})
+		spent := time.Since(now)
+		synctest.Wait()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if !seen.last.Left || spent > 500*time.Millisecond || len(e.calls) != 1 {
+			t.Errorf("left %t after %v and %d calls", seen.last.Left, spent, len(e.calls))
+		}
+	})
+}
--- /dev/null
+++ b/io/kctegress/client_test.go
@@ -0,0 +1,235 @@
+package kctegress_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	kctport "kingcupturn"
+	"kingcupturn/io/kctegress"
+	"kingcupturn/io/kcttimer"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// dialect is a plain translation of headers for tests.
+type dialect struct{}
+
+func (dialect) Request(kctport.Header) (string, time.Duration, bool) { return "", 0, false }
+func (dialect) Reply(*kctport.Reply) kctport.Header                  { return nil }
+
+func (dialect) Forward(_ kctport.Header, id string, _ time.Duration, server kctport.InstanceID) kctport.Header {
+	return kctport.Header{"Id": {id}, "Expect": {string(server)}}
+}
+
+func (dialect) Response(status int, h kctport.Header) (kctport.Response, string) {
+	header := http.Header(h)
+	return kctport.Response{Status: status, Header: h, Signature: header.Get("Sig"), NotRun: header.Get("Not-Run") != ""}, header.Get("Id")
+}
+
+// serve answers each request on each connection by a script; it gets the connection and the number of the request on it.
+func serve(t *testing.T, script func(c net.Conn, r *http.Request, n int) bool) *kctport.Server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	var connections sync.WaitGroup
+	go func() {
+		defer close(done)
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			connections.Go(func() {
+				defer c.Close()
+				b := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(b)
+					if err != nil || !script(c, r, n) {
+						return
+					}
+				}
+			})
+		}
+	}()
+	t.Cleanup(func() {
+		l.Close()
+		<-done
+		connections.Wait()
+	})
+	return &kctport.Server{ID: "i-1", Address: netip.MustParseAddrPort(l.Addr().String())}
+}
+
+func client(t *testing.T) *kctegress.Client {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := kctegress.New(kcttimer.New(), dialect{})
+	done := c.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return c
+}
+
+func exchange(c *kctegress.Client, s *kctport.Server, id string, body string) (kctport.Response, error) {
+	m := &kctport.Message{ID: id, Method: "POST", Target: "/a?b=%2f", Host: "h", Body: []byte(body)}
+	return c.Exchange(context.Background(), s, m, kctport.ExchangeOptions{Deadline: time.Now().Add(2 * time.Second), Connections: 2})
+}
+
+func answer(c net.Conn, id, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSig: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// TestAnswers guards against an answer of another request, a cut answer shown as whole, and a failed connection taken for "not run".
+func TestAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		script func(c net.Conn, r *http.Request, n int) bool
+		body   string
+		err    error
+	}{
+		"plain": {func(c net.Conn, r *http.Request, _ int) bool {
+			answer(c, r.Header.Get("Id"), r.RequestURI)
+			return true
+		}, "/a?b=%2f", nil},
+		"an answer to another request comes first": {func(c net.Conn, r *http.Request, _ int) bool {
+			answer(c, "old", "wrong")
+			answer(c, r.Header.Get("Id"), "right")
+			return true
+		}, "right", nil},
+		"an interim answer comes first": {func(c net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprint(c, "HTTP/1.1 102 Processing\r\n\r\n")
+			answer(c, r.Header.Get("Id"), "right")
+			return true
+		}, "right", nil},
+		"no length": {func(c net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSig: s\r\n\r\nright", r.Header.Get("Id"))
+			return false
+		}, "right", nil},
+		"cut": {func(c net.Conn, r *http.Request, _ int) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: 9\r\n\r\ncut", r.Header.Get("Id"))
+			return false
+		}, "", kctport.ErrReset},
+		"closed": {func(net.Conn, *http.Request, int) bool { return false }, "", kctport.ErrReset},
+		"no answer in the protocol": {func(c net.Conn, _ *http.Request, _ int) bool {
+			fmt.Fprint(c, "\x00\x01garbage\r\n\r\n")
+			return false
+		}, "", kctport.ErrReset},
+		"only answers to others": {func(c net.Conn, _ *http.Request, _ int) bool {
+			for range 3 {
+				answer(c, "old", "wrong")
+			}
+			return true
+		}, "", kctport.ErrMismatch},
+		"silent": {func(net.Conn, *http.Request, int) bool {
+			time.Sleep(3 * time.Second)
+			return false
+		}, "", kctport.ErrTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, err := exchange(client(t), serve(t, c.script), "1", "")
+			if !errors.Is(err, c.err) || errors.Is(err, kctport.ErrNotRun) || string(r.Body) != c.body {
+				t.Errorf("body %q, error %v; want %q, %v", r.Body, err, c.body, c.err)
+			}
+		})
+	}
+}
+
+// TestNotSent guards against a failed connection that counts as possibly run.
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := netip.MustParseAddrPort(l.Addr().String())
+	l.Close()
+	if _, err := exchange(client(t), &kctport.Server{Address: at}, "1", ""); !errors.Is(err, kctport.ErrNotRun) {
+		t.Errorf("error %v, want not run", err)
+	}
+}
+
+// TestLeftOverBytes guards against bytes after an answer that are taken for the next one, at once or while the connection is idle.
+func TestLeftOverBytes(t *testing.T) {
+	for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
+		s := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+			answer(c, r.Header.Get("Id"), r.Header.Get("Id"))
+			time.Sleep(pause)
+			answer(c, "2", "made up")
+			return true
+		})
+		c := client(t)
+		for _, id := range []string{"1", "2"} {
+			r, err := exchange(c, s, id, "")
+			if err != nil || string(r.Body) != id {
+				t.Errorf("pause %v: request %s got %q, %v", pause, id, r.Body, err)
+			}
+			time.Sleep(4 * pause)
+		}
+		if n := c.Opened(); n != 2 {
+			t.Errorf("%d connections, want a new one for the second request", n)
+		}
+	}
+}
+
+// TestEarlyAnswer guards against the next request on a connection whose endpoint still waits for the rest of a long body.
+func TestEarlyAnswer(t *testing.T) {
+	s := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if r.ContentLength > 100 {
+			answer(c, r.Header.Get("Id"), "early")
+			time.Sleep(50 * time.Millisecond)
+			_, err := io.Copy(io.Discard, r.Body)
+			return err == nil
+		}
+		answer(c, r.Header.Get("Id"), r.Method)
+		return true
+	})
+	c := client(t)
+	if r, err := exchange(c, s, "1", strings.Repeat("x", 8<<20)); err != nil || string(r.Body) != "early" {
+		t.Errorf("%q, %v", r.Body, err)
+	}
+	if r, err := exchange(c, s, "2", ""); err != nil || string(r.Body) != "POST" || c.Opened() != 2 {
+		t.Errorf("%q, %v, %d connections", r.Body, err, c.Opened())
+	}
+}
+
+// TestConnectionLimit guards against more connections to an endpoint than this entry's share.
+func TestConnectionLimit(t *testing.T) {
+	s := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		time.Sleep(5 * time.Millisecond)
+		answer(c, r.Header.Get("Id"), "")
+		return true
+	})
+	c := client(t)
+	done := make(chan error)
+	for i := range 12 {
+		go func() {
+			_, err := exchange(c, s, fmt.Sprint(i), "")
+			done <- err
+		}()
+	}
+	for range 12 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	if n := c.Opened(); n > 2 {
+		t.Errorf("%d connections were opened, at most 2 are allowed", n)
+	}
+}
--- /dev/null
+++ b/io/kctfeed/feed_test.go
@@ -0,0 +1,133 @@
+package kctfeed_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	kctport "kingcupturn"
+	"kingcupturn/io/kctfeed"
+	"kingcupturn/io/kcttimer"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// source gives every subscriber the same updates.
+type source struct {
+	updates []kctport.FeedUpdate
+	beats   chan kctport.EntryRecord
+	ended   chan struct{}
+}
+
+type subscription struct {
+	*source
+	out chan kctport.FeedUpdate
+}
+
+func (s *source) Subscribe(context.Context, kctport.EntryRecord) kctport.FeedSubscription {
+	u := &subscription{s, make(chan kctport.FeedUpdate, 16)}
+	for _, f := range s.updates {
+		u.out <- f
+	}
+	return u
+}
+
+func (u *subscription) Updates() <-chan kctport.FeedUpdate { return u.out }
+
+func (u *subscription) Beat(_ context.Context, e kctport.EntryRecord) {
+	select {
+	case u.beats <- e:
+	default:
+	}
+}
+
+func (u *subscription) End(context.Context) {
+	close(u.out)
+	u.ended <- struct{}{}
+}
+
+func decode(key string, value []byte, revision kctport.StoreRevision, deleted bool) kctport.RegistryChange {
+	return kctport.RegistryChange{Kind: kctport.RecordServer, Key: key, Value: value, Revision: revision, Deleted: deleted}
+}
+
+// address finds a free port; another process may take it before it is used, which fails the test at once.
+func address(t *testing.T) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// TestFeed guards against lost fields, and against large values that are sent as they are: 20 copies of 400 KB kept a slow link busy for 5 s.
+func TestFeed(t *testing.T) {
+	large := bytes.Repeat([]byte(`{"name":"r-1","host":"some.example","path-prefix":"/a/"},`), 7000)
+	at := address(t)
+	member := kctport.EntryRecord{ID: "m", Zone: "z", Caller: at, Peer: at, Leaving: true, Load: 0.3, Cores: 0.192}
+	s := &source{beats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{
+		{Full: true, Changes: []kctport.RegistryChange{{Key: "large", Value: large, Revision: 7}}, Members: []kctport.FeedMember{{Origin: "r", Entry: member}}},
+		{Changes: []kctport.RegistryChange{{Key: "small", Value: []byte("v"), Revision: 8}, {Key: "large", Revision: 9, Deleted: true}}, Away: true, Age: time.Minute},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	served, err := kctfeed.NewServer(at, s).Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got []kctport.FeedUpdate
+	follow, stop := context.WithCancel(ctx)
+	c := kctfeed.NewClient(kcttimer.New(), decode)
+	self := func() kctport.EntryRecord { return member }
+	if err := c.Follow(follow, kctport.EntryRecord{ID: "r", Peer: at}, self, func(f kctport.FeedUpdate) {
+		if got = append(got, f); len(got) == 2 {
+			stop()
+		}
+	}); err == nil {
+		t.Error("a feed that was stopped ended without a reason")
+	}
+	stop()
+	if len(got) != 2 {
+		t.Fatalf("%d updates, want 2", len(got))
+	}
+	if f := got[0]; !f.Full || !bytes.Equal(f.Changes[0].Value, large) || f.Changes[0].Revision != 7 || f.Members[0] != s.updates[0].Members[0] {
+		t.Errorf("first update %t, %d bytes, members %+v", f.Full, len(f.Changes[0].Value), f.Members)
+	}
+	if f := got[1]; !f.Away || f.Age != time.Minute || string(f.Changes[0].Value) != "v" || !f.Changes[1].Deleted {
+		t.Errorf("second update %+v", f)
+	}
+	<-s.ended
+	cancel()
+	<-served
+}
+
+// TestSilentFeed guards against a feed on which nothing arrives any more and which is kept.
+func TestSilentFeed(t *testing.T) {
+	at := address(t)
+	s := &source{beats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	served, err := kctfeed.NewServer(at, s).Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	entry := kctport.EntryRecord{ID: "m", Caller: at, Peer: at}
+	err = kctfeed.NewClient(kcttimer.New(), decode).Follow(ctx, kctport.EntryRecord{ID: "r", Peer: at},
+		func() kctport.EntryRecord { return entry }, func(kctport.FeedUpdate) {})
+	if err == nil || time.Since(began) > 5*time.Second {
+		t.Errorf("ended after %v: %v", time.Since(began), err)
+	}
+	if b := <-s.beats; b.ID != "m" {
+		t.Errorf("beat %+v", b)
+	}
+	<-s.ended
+	cancel()
+	<-served
+}
