--- a/cmd/kingcupturn/main.go
+++ b/cmd/kingcupturn/main.go
@@ -16,8 +16,6 @@
 
 	"kingcupturn/io/kctentry"
 	"kingcupturn/io/kctload"
-	"kingcupturn/io/kctlog"
-	"kingcupturn/io/kctnode"
 	"kingcupturn/io/kctoperator"
 	"kingcupturn/io/kctreport"
 	"kingcupturn/io/kctsetting"
@@ -67,36 +65,6 @@
 	})
 }
 
-// serveCommand runs an entry on the users' platform; its log goes to standard output and never blocks.
-func serveCommand() *ffcli.Command {
-	set := flag.NewFlagSet("serve", flag.ContinueOnError)
-	values := kctsetting.RegisterServing(set)
-	return &ffcli.Command{
-		Name: "serve", ShortUsage: "kingcupturn serve --config FILE [flags]", ShortHelp: "run an entry on the users' platform",
-		FlagSet: set, Options: kctsetting.ServingOptions(),
-		Exec: func(ctx context.Context, args []string) error {
-			settings, err := values.Check(args)
-			if err != nil {
-				return err
-			}
-			return serve(ctx, settings)
-		},
-	}
-}
-
-func serve(ctx context.Context, settings kctsetting.Serving) error {
-	log := kctlog.New(os.Stdout)
-	klog.LogToStderr(false)
-	klog.SetOutput(log)
-	lines, stop := context.WithCancel(context.WithoutCancel(ctx))
-	written := log.Run(lines)
-	err := kctnode.New(settings).Run(ctx)
-	klog.Flush()
-	stop()
-	<-written
-	return err
-}
-
 // gcPercent keeps the control state of 4,100 members and 71,000 endpoints within 256 MB: 190 MB resident in place of
 // 259 MB at the default of 100, for 0.3% of a core.
 const gcPercent = 50
--- /dev/null
+++ b/io/kctmetric/serving.go
@@ -0,0 +1,132 @@
+package kctmetric
+
+import (
+	"net/http"
+	"strconv"
+
+	kctport "kingcupturn"
+	"kingcupturn/core/kctforward"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// latencyBuckets are the upper bounds in seconds; objectives of today lie between 60 and 600 ms.
+var latencyBuckets = []float64{0.005, 0.01, 0.02, 0.03, 0.045, 0.06, 0.08, 0.1, 0.12, 0.15, 0.2, 0.3, 0.45, 0.6, 1, 2, 4, 8}
+
+// Serving holds the metrics of an entry on the users' platform; all methods may be called concurrently.
+type Serving struct {
+	registry  *prometheus.Registry
+	requests  *prometheus.CounterVec
+	objective *prometheus.CounterVec
+	latency   *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	parts     *prometheus.CounterVec
+	steps     *prometheus.CounterVec
+}
+
+// NewServing returns metrics on a registry of their own. Labels are bounded: rules may name thousands of routes, so that routes are grouped
+// by kind and priority.
+func NewServing() *Serving {
+	m := &Serving{registry: prometheus.NewRegistry()}
+	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}, labels)
+		m.registry.MustRegister(v)
+		return v
+	}
+	m.requests = counter("answers_total", "Answers by kind of route, priority, status code and who gave them: endpoint, merged or own.", "kind", "priority", "status", "by")
+	m.objective = counter("objective_total", "Requests that met or missed their route's objective.", "service", "kind", "result")
+	m.attempts = counter("attempts_total", "Attempts at endpoints by kind: first, hedge or retry.", "kind")
+	m.parts = counter("parts_total", "Parts of gathered answers, answered or missing.", "result")
+	m.steps = counter("decisions_total", "Decisions about requests that were not served plainly.", "what")
+	m.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: Namespace, Name: "latency_seconds", Help: "Time from the reading of a request to its answer.", Buckets: latencyBuckets,
+	}, []string{"kind"})
+	m.registry.MustRegister(m.latency)
+	return m
+}
+
+// Handler serves the metrics in the exposition format.
+func (m *Serving) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Follow adds gauges of the picture in force, and counters that other parts keep.
+func (m *Serving) Follow(fleets kctport.Fleets, timer kctport.Timer, opened, dropped func() uint64) {
+	gauge := func(name, help string, read func(f *kctport.Fleet) float64) {
+		opts := prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}
+		m.registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return read(fleets.Fleet()) }))
+	}
+	gauge("rules_version", "Version of the operator's rules in force, 0 for none.", func(f *kctport.Fleet) float64 {
+		if f.Rules == nil {
+			return 0
+		}
+		return float64(f.Rules.Version)
+	})
+	gauge("entries", "Entries of the tier known to be alive.", func(f *kctport.Fleet) float64 { return float64(len(f.Entries)) })
+	gauge("active_entries", "Entries that callers are sent to.", func(f *kctport.Fleet) float64 { return float64(len(f.Active)) })
+	gauge("endpoints", "Endpoints that may get work.", func(f *kctport.Fleet) float64 {
+		n := 0
+		for _, servers := range f.Servers {
+			n += len(servers)
+		}
+		return float64(n)
+	})
+	gauge("store_age_seconds", "Time since the store was last heard, directly or by a reader.", func(f *kctport.Fleet) float64 {
+		return timer.Now().Sub(f.Contact).Seconds()
+	})
+	counter := func(name, help string, read func() uint64) {
+		opts := prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}
+		m.registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(read()) }))
+	}
+	counter("connections_opened_total", "Connections opened to endpoints.", opened)
+	counter("log_lines_dropped_total", "Log lines dropped because the reader of standard output was slow.", dropped)
+}
+
+// Answered counts a finished request.
+func (m *Serving) Answered(s *kctforward.Story) {
+	kind, priority := "none", "none"
+	if s.Route != nil {
+		kind, priority = "single", strconv.Itoa(min(s.Route.Priority, maxPriority))
+		if len(s.Route.Gather) > 0 {
+			kind = "gather"
+		}
+	}
+	by := "endpoint"
+	switch {
+	case s.Left:
+		by = "left"
+	case s.Reply.Own:
+		by = "own"
+	case len(s.Reply.Signatures) > 0:
+		by = "merged"
+	}
+	m.requests.WithLabelValues(kind, priority, strconv.Itoa(s.Reply.Status), by).Inc()
+	m.latency.WithLabelValues(kind).Observe(s.End.Sub(s.Start).Seconds())
+	m.attempts.WithLabelValues("hedge").Add(float64(s.Hedges))
+	m.attempts.WithLabelValues("retry").Add(float64(s.Retries))
+	m.attempts.WithLabelValues("first").Add(float64(s.Sends - s.Hedges - s.Retries))
+	m.parts.WithLabelValues("answered").Add(float64(len(s.Reply.Signatures)))
+	m.parts.WithLabelValues("missing").Add(float64(s.Reply.Missing))
+	for _, step := range s.Steps {
+		m.steps.WithLabelValues(step.What).Inc()
+	}
+	m.met(s, kind, priority)
+}
+
+// maxPriority bounds the label; larger numbers are less urgent and rare.
+const maxPriority = 9
+
+// met counts the request for the report on service levels, which groups by service; a group of routes stands in its place.
+func (m *Serving) met(s *kctforward.Story, kind, priority string) {
+	if s.Route == nil || s.Left {
+		return
+	}
+	result := "missed"
+	if s.Reply.Status < http.StatusBadRequest && s.End.Sub(s.Start) <= s.Route.Objective {
+		result = "met"
+	}
+	m.objective.WithLabelValues(kind, "priority "+priority, result).Inc()
+}
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -23,6 +24,7 @@
 	"kingcupturn/io/kctfeed"
 	"kingcupturn/io/kctingress"
 	"kingcupturn/io/kctlog"
+	"kingcupturn/io/kctmetric"
 	"kingcupturn/io/kctsetting"
 	"kingcupturn/io/kcttimer"
 	"kingcupturn/io/kctusage"
@@ -50,35 +52,67 @@
 	egress   *kctegress.Client
 	usage    *kctusage.Meter
 	policies kctforward.Policies
-	ingress  *kctingress.Server
+	metrics  *kctmetric.Serving
+	dropped  func() uint64
+	// bounds are those of extra attempts, as last reloaded.
+	bounds  atomic.Pointer[kctbalance.BudgetSettings]
+	ingress *kctingress.Server
+}
+
+// Option changes a node at construction.
+type Option func(*Node)
+
+// WithDropped counts the log lines that were dropped, for the metrics.
+func WithDropped(dropped func() uint64) Option {
+	return func(n *Node) { n.dropped = dropped }
+}
+
+// observers hands each story to all.
+type observers []kctforward.Observer
+
+func (o observers) Answered(s *kctforward.Story) {
+	for _, observer := range o {
+		observer.Answered(s)
+	}
 }
 
 // New wires an entry; nothing runs before Run.
-func New(settings kctsetting.Serving) *Node {
-	n := &Node{settings: settings, timer: kcttimer.New()}
+func New(settings kctsetting.Serving, opts ...Option) *Node {
+	n := &Node{timer: kcttimer.New(), metrics: kctmetric.NewServing(), dropped: func() uint64 { return 0 }}
+	for _, o := range opts {
+		o(n)
+	}
+	n.settings = settings
+	n.bounds.Store(&kctbalance.BudgetSettings{Ratio: settings.Ratio, Slack: settings.Slack})
 	log := kctlog.Decisions{}
 	seed := uint64(n.timer.Now().UnixNano())
 	n.policies = kctforward.Policies{
 		Balancer: kctbalance.New(settings.Zone, seed),
-		Budget:   kctbalance.NewBudget(n.budgetSettings()),
+		Budget:   kctbalance.NewBudget(*n.bounds.Load()),
 		Delays:   kctbalance.NewDelays(), Splitter: kctroutes.NewSplitter(),
 	}
 	n.usage = kctusage.New(n.timer, settings.Cores)
 	n.control = kctfleet.New(n.self(), kctadapter.NewClient(settings.Store), kctfeed.NewClient(n.timer, kctadapter.Decode), n.timer, log,
 		kctfleet.WithPublished(n.follow), kctfleet.WithLoad(n.usage.Share), kctfleet.WithSeed(seed))
 	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
-	engine := kctforward.NewEngine(n.control, n.timer, n.egress, n.policies, log)
+	n.metrics.Follow(n.control, n.timer, n.egress.Opened, n.dropped)
+	engine := kctforward.NewEngine(n.control, n.timer, n.egress, n.policies, observers{log, n.metrics})
 	n.ingress = kctingress.New(settings.Caller, engine, n.control, kctadapter.Dialect{}, n.timer)
 	return n
 }
 
-func (n *Node) budgetSettings() kctbalance.BudgetSettings {
-	return kctbalance.BudgetSettings{Ratio: n.settings.Ratio, Slack: n.settings.Slack}
+// Reload takes new settings. The bounds of extra attempts change at once; addresses and limits of the process need a restart.
+func (n *Node) Reload(settings kctsetting.Serving) {
+	n.bounds.Store(&kctbalance.BudgetSettings{Ratio: settings.Ratio, Slack: settings.Slack})
+	n.policies.Budget.Update(*n.bounds.Load(), n.control.Fleet().Senders)
+	kept := settings
+	kept.Ratio, kept.Slack = n.settings.Ratio, n.settings.Slack
+	klog.InfoS("settings reloaded", "id", n.settings.ID, "ratio", settings.Ratio, "slack", settings.Slack, "restartNeeded", kept != n.settings)
 }
 
 // follow brings the traffic policies up to date with a new picture.
 func (n *Node) follow(f *kctport.Fleet) {
-	n.policies.Budget.Update(n.budgetSettings(), f.Senders)
+	n.policies.Budget.Update(*n.bounds.Load(), f.Senders)
 	n.policies.Balancer.Forget(f)
 	if f.Rules == nil {
 		return
@@ -149,10 +183,11 @@
 // serveFronts serves readiness, the directory and metrics; the channel reports the first that ends.
 func (n *Node) serveFronts(ctx context.Context) (<-chan error, error) {
 	done := make(chan error, 3)
-	ready, directory := echo.New(), echo.New()
+	ready, directory, metrics := echo.New(), echo.New(), echo.New()
+	metrics.GET("/metrics", echo.WrapHandler(n.metrics.Handler()))
 	kctadapter.ServeReadiness(ready, n.ready)
 	kctadapter.ServeDirectory(directory, kctdirectory.New(n.control))
-	for at, e := range map[netip.AddrPort]*echo.Echo{n.settings.Ready: ready, n.settings.Directory: directory} {
+	for at, e := range map[netip.AddrPort]*echo.Echo{n.settings.Ready: ready, n.settings.Directory: directory, n.settings.Metrics: metrics} {
 		if err := listen(ctx, at, e, done); err != nil {
 			return nil, err
 		}
