End a draining entry within the grace time; give an unjudged version nothing

An order to move a service's traffic was not looked at, so that a bad version would have got its full share at once; its endpoints now get nothing while others are left (TestUnprovedVersion), which leaves the order undone.

--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -200,8 +200,8 @@
 }
 
 // subscribeAt follows one reader and reports whether it was of use.
-func (c *Controller) subscribeAt(ctx context.Context, reader kctport.EntryRecord, acceptAway bool) bool {
-	ctx, cancel := context.WithCancelCause(ctx)
+func (c *Controller) subscribeAt(parent context.Context, reader kctport.EntryRecord, acceptAway bool) bool {
+	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	useful := false
 	away := outage{patience: awayPatience}
@@ -229,7 +229,7 @@
 		c.log.Believe("feed ended", string(reader.ID), errors.Join(context.Cause(ctx), err).Error(), 0)
 	}
 	if useful && errors.Is(context.Cause(ctx), errLookElsewhere) {
-		c.spread(context.WithoutCancel(ctx), claimSpread)
+		c.spread(parent, claimSpread)
 	}
 	return useful
 }
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -176,9 +176,9 @@
 	if s.table != nil {
 		f.Table = s.table
 	}
-	out := s.zonesOut()
+	out, unproved := s.zonesOut(), s.unproved()
 	for _, r := range s.records {
-		if r.Server != nil && !r.Server.Leaving && !out[r.Server.Zone] {
+		if r.Server != nil && !r.Server.Leaving && !out[r.Server.Zone] && unproved[r.Server.Service] != r.Server.Version {
 			f.Servers[r.Server.Service] = append(f.Servers[r.Server.Service], r.server())
 		}
 	}
@@ -216,6 +216,27 @@
 	return out
 }
 
+// unproved lists the versions that services are asked to move to while endpoints of another version are left. The tier can't judge a version
+// yet, so that one gets nothing: a move that isn't done costs less than a bad version that serves.
+func (s *state) unproved() map[kctport.ServiceName]kctport.VersionName {
+	wanted := map[kctport.ServiceName]kctport.VersionName{}
+	for _, r := range s.records {
+		if r.Move != nil {
+			wanted[r.Move.Service] = r.Move.To
+		}
+	}
+	unproved := map[kctport.ServiceName]kctport.VersionName{}
+	for _, r := range s.records {
+		if r.Server == nil || r.Server.Leaving {
+			continue
+		}
+		if to, ok := wanted[r.Server.Service]; ok && r.Server.Version != to {
+			unproved[r.Server.Service] = to
+		}
+	}
+	return unproved
+}
+
 // readers lists the entries that read the store for their zones.
 func (s *state) readers() []kctport.EntryRecord {
 	var readers []kctport.EntryRecord
--- a/core/kctfleet/state_test.go
+++ b/core/kctfleet/state_test.go
@@ -100,6 +100,24 @@
 	}
 }
 
+// TestUnprovedVersion guards against traffic for a version that nobody has judged, and against a service that gets none once only it is left.
+func TestUnprovedVersion(t *testing.T) {
+	s := newState(kctport.EntryRecord{ID: "e"})
+	s.heard(start, 0)
+	old, fresh := server("old", 1), server("new", 2)
+	old.Server.Version, fresh.Server.Version = "v1", "v2"
+	s.apply(start, old)
+	s.apply(start, fresh)
+	s.apply(start, kctport.RegistryChange{Kind: kctport.RecordMove, Key: "moves/s", Revision: 3, Move: &kctport.MoveOrder{Service: "s", To: "v2"}})
+	if list := s.fleet(start).Servers["s"]; len(list) != 1 || list[0].ID != "old" {
+		t.Errorf("during a move: %+v", list)
+	}
+	s.apply(start, gone(old, 4))
+	if list := s.fleet(start).Servers["s"]; len(list) != 1 || list[0].ID != "new" {
+		t.Errorf("with the new version alone: %+v", list)
+	}
+}
+
 // TestOldPicture guards against a reader that was long without the store and whose complete picture removes newer records.
 func TestOldPicture(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -38,8 +38,8 @@
 	gcPercent = 300
 	// lastAnswers is the part of the grace time that is kept for requests in progress.
 	lastAnswers = 900 * time.Millisecond
-	// exitReserve ends the process before it is killed.
-	exitReserve = 250 * time.Millisecond
+	// exitReserve ends the process before it is killed; with a fifth of a core the end itself takes a few hundred milliseconds.
+	exitReserve = 500 * time.Millisecond
 	// windPeriod is the last part of the drain, in which answers close their connections.
 	windPeriod = time.Second
 )
