--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -178,7 +178,10 @@
 	}
 	out, unproved := s.zonesOut(), s.unproved()
 	for _, r := range s.records {
-		if r.Server != nil && !r.Server.Leaving && !out[r.Server.Zone] && unproved[r.Server.Service] != r.Server.Version {
+		if r.Server == nil || r.Server.Leaving || out[r.Server.Zone] {
+			continue
+		}
+		if version, ok := unproved[r.Server.Service]; !ok || version != r.Server.Version {
 			f.Servers[r.Server.Service] = append(f.Servers[r.Server.Service], r.server())
 		}
 	}
