--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -23,6 +23,9 @@
 	claimSpread = 500 * time.Millisecond
 	// claimInterval bounds the attempts of an entry that the store refuses.
 	claimInterval = 3 * time.Second
+	// quickTimeout bounds the small call with which an entry starts: it serves nobody until then, and a store that has just come back
+	// answers a new call sooner than the one that was lost.
+	quickTimeout = 400 * time.Millisecond
 	// soloTime is how long an entry that reaches no reader follows the store itself before it looks for one again.
 	soloTime = 3 * time.Second
 	// awayPatience is how long a reader may be without the store before its subscribers look for a better one.
@@ -68,7 +71,9 @@
 
 // knownReaders returns the readers as the store has them; when it is out of reach, those last heard.
 func (c *Controller) knownReaders(ctx context.Context) ([]kctport.EntryRecord, error) {
-	readers, err := c.registry.Readers(ctx)
+	quick, cancel := context.WithTimeout(ctx, quickTimeout)
+	defer cancel()
+	readers, err := c.registry.Readers(quick)
 	if err != nil {
 		return *c.readers.Load(), err
 	}
--- a/io/kctlog/story.go
+++ b/io/kctlog/story.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -20,17 +21,22 @@
 		fields = append(fields, "version", uint64(version))
 	}
 	if detail != "" {
-		fields = append(fields, "detail", detail)
+		fields = append(fields, "detail", oneLine(detail))
 	}
 	klog.InfoS(what, fields...)
 }
 
+// oneLine keeps joined errors on the line that they belong to.
+func oneLine(text string) string {
+	return strings.ReplaceAll(text, "\n", "; ")
+}
+
 // Answered logs one line for a request that was served plainly, and each decision about any other.
 func (Decisions) Answered(s *kctforward.Story) {
 	id := s.Message.ID
 	for _, step := range s.Steps {
 		klog.InfoS(step.What, "request", id, "after", step.At.Sub(s.Start).Round(10*time.Microsecond),
-			"service", step.Service, "endpoint", step.Server, "detail", step.Detail)
+			"service", step.Service, "endpoint", step.Server, "detail", oneLine(step.Detail))
 	}
 	fields := []any{
 		"request", id, "status", s.Reply.Status, "took", s.End.Sub(s.Start).Round(10 * time.Microsecond),
