End the feeds of a reader that stops

The writer of a feed waits for its updates to end, which the control goroutine announces, and that had ended before.

--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -219,3 +219,27 @@
 		}
 	})
 }
+
+// TestSubscriberOfEndedController guards against a process that never ends: the writer of a feed waited for the end of its updates, which nobody
+// announced once the controller had stopped, and readers were killed at the end of their grace time.
+func TestSubscriberOfEndedController(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := New(entryRecord("a", "z", 1), store, &feeds{}, kcttimer.New(), silent{})
+		done := c.Run(ctx)
+		u := c.Subscribe(ctx, entryRecord("b", "z", 2))
+		cancel()
+		<-done
+		u.End(context.Background())
+		timeout := time.After(time.Minute)
+		for open := true; open; {
+			select {
+			case _, open = <-u.Updates():
+			case <-timeout:
+				t.Fatal("the subscriber's updates never end")
+			}
+		}
+		u.End(context.Background())
+	})
+}
--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -36,7 +36,7 @@
 		return []event{{what: "entry subscribed", key: string(entry.ID)}}
 	})
 	if !registered {
-		close(u.updates)
+		u.closeOnce()
 	}
 	return u
 }
@@ -63,9 +63,22 @@
 
 // End removes the subscriber; an entry that has subscribed again meanwhile stays a member.
 func (u *subscription) End(ctx context.Context) {
-	u.control.update(ctx, func(s *state, _ time.Time) []event {
-		return u.control.end(s, u)
-	})
+	if u.control.update(ctx, func(s *state, _ time.Time) []event { return u.control.end(s, u) }) {
+		return
+	}
+	select {
+	case <-u.control.stopped:
+		// The control goroutine, which alone sends and closes otherwise, has ended.
+		u.closeOnce()
+	default:
+	}
+}
+
+func (u *subscription) closeOnce() {
+	if !u.ended {
+		u.ended = true
+		close(u.updates)
+	}
 }
 
 // end closes a subscription on the control goroutine.
@@ -73,8 +86,7 @@
 	if u.ended {
 		return nil
 	}
-	u.ended = true
-	close(u.updates)
+	u.closeOnce()
 	delete(c.subscribers, u)
 	for other := range c.subscribers {
 		if other.entry.ID == u.entry.ID {
