Use 0.6 of an endpoint's connections

Cause: endpoints reset connections over their cap after all entries had lost power: the old connections stay at the endpoints beside the new ones.

--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -23,7 +23,7 @@
 	// loadWeight is the cost of a full endpoint, in usual latencies.
 	loadWeight = 0.5
 	// connectionShare is the part of an endpoint's connections that entries use together; the rest is for entries that are being replaced.
-	connectionShare = 0.9
+	connectionShare = 0.6
 	// usualWeight is the weight of one latency in a route's usual latency.
 	usualWeight = 0.05
 	// firstUsual is the usual latency of a route before its first answers.
