Leave a reader that has lost the store for one that has it

An entry that the store turned away settled at the first reader, also at one that was turned away too, and asked the store in growing steps of up to 10 s before it tried another reader. A reader that could not renew its lease stayed in its place without any source. Ruled out: the feed (silent feeds end after 1.3 s), the watch (2.5 s), the store (acknowledged). Change: readers with the store are tried before any without; a blind one is left after 1.2 s; a reader gives up when its lease can't be renewed. Test: TestBlindReader, which failed first.

--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -243,3 +244,77 @@
 		u.End(context.Background())
 	})
 }
+
+// door is one entry's way to the store, which can be shut for it alone.
+type door struct {
+	*registry
+	shut atomic.Bool
+}
+
+func (d *door) err() error {
+	if d.shut.Load() {
+		return kctport.ErrUnavailable
+	}
+	return nil
+}
+
+func (d *door) Load(ctx context.Context) (kctport.RegistryState, error) {
+	l, err := d.registry.Load(ctx)
+	return l, errors.Join(err, d.err())
+}
+
+func (d *door) Watch(ctx context.Context, after kctport.StoreRevision, wait time.Duration) ([]kctport.RegistryChange, kctport.StoreRevision, error) {
+	changes, revision, err := d.registry.Watch(ctx, after, wait)
+	return changes, revision, errors.Join(err, d.err())
+}
+
+func (d *door) Readers(ctx context.Context) ([]kctport.EntryRecord, error) {
+	readers, err := d.registry.Readers(ctx)
+	return readers, errors.Join(err, d.err())
+}
+
+func (d *door) Renew(context.Context, kctport.Lease) error { return d.err() }
+
+// TestBlindReader guards against entries that stay with a reader which the store turns away, though another one is served: rules were
+// in force 8 s late there.
+func TestBlindReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1}
+		mesh := &feeds{sources: map[uint16]*Controller{}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var doors []*door
+		var all []*Controller
+		var done []<-chan struct{}
+		for i, zone := range []kctport.Zone{"x", "y", "x", "x"} {
+			d, port := &door{registry: store}, uint16(i+1)
+			c := New(entryRecord(string(rune('a'+i)), zone, port), d, mesh, kcttimer.New(), silent{}, WithSeed(uint64(i)))
+			mesh.sources[port] = c
+			doors, all = append(doors, d), append(all, c)
+		}
+		for i, c := range all {
+			done = append(done, c.Run(ctx))
+			if i < 2 {
+				// The first two become the readers of their zones.
+				time.Sleep(time.Second)
+			}
+		}
+		time.Sleep(2 * time.Second)
+		// The reader of zone x and one of its subscribers are turned away, the other subscriber is not.
+		doors[0].shut.Store(true)
+		doors[2].shut.Store(true)
+		time.Sleep(100 * time.Millisecond)
+		store.mu.Lock()
+		store.rules = 2
+		store.mu.Unlock()
+		time.Sleep(6 * time.Second)
+		for i, c := range all {
+			if version(c) != 2 {
+				t.Errorf("entry %d: version %d, want 2", i, version(c))
+			}
+		}
+		cancel()
+		for _, d := range done {
+			<-d
+		}
+	})
+}
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -28,7 +28,8 @@
 	quickTimeout = 400 * time.Millisecond
 	// soloTime is how long an entry that reaches no reader follows the store itself before it looks for one again.
 	soloTime = 3 * time.Second
-	// awayPatience is how long a reader may be without the store before its subscribers look for a better one.
+	// awayPatience is how long a reader may be without the store before its subscribers look for a better one; rules must be in force
+	// within 3 s.
 	awayPatience = 1200 * time.Millisecond
 	// failureMemory is how long a reader whose feed broke is tried last; its record stays in the store for as long.
 	failureMemory = leaseTime
@@ -125,9 +126,17 @@
 
 // renew holds the lease until it ends or this entry leaves.
 func (c *Controller) renew(ctx context.Context, lease kctport.Lease) {
+	renewed := c.timer.Now()
 	for ctx.Err() == nil && !c.leaving.Load() {
 		c.pause(ctx, renewInterval)
 		err := c.registry.Renew(ctx, lease)
+		switch now := c.timer.Now(); {
+		case err == nil:
+			renewed = now
+		case now.Sub(renewed) > leaseTime:
+			c.log.Believe("reader's lease not renewed in its time", string(c.self.Zone), err.Error(), 0)
+			return
+		}
 		if errors.Is(err, kctport.ErrNotFound) {
 			c.log.Believe("reader's lease ended", string(c.self.Zone), err.Error(), 0)
 			return
@@ -178,11 +187,16 @@
 }
 
 // subscribe follows the nearest reader that works; it is false when none did. A reader that is itself without the store
-// is accepted when this entry is too.
+// is accepted when this entry is too and no other reader has it.
 func (c *Controller) subscribe(ctx context.Context, readers []kctport.EntryRecord, away bool) bool {
-	for _, r := range c.ranked(readers) {
-		if c.subscribeAt(ctx, r, away) {
-			return true
+	for _, acceptAway := range []bool{false, true} {
+		if acceptAway && !away {
+			break
+		}
+		for _, r := range c.ranked(readers) {
+			if c.subscribeAt(ctx, r, acceptAway) {
+				return true
+			}
 		}
 	}
 	return false
@@ -208,12 +222,16 @@
 func (c *Controller) subscribeAt(parent context.Context, reader kctport.EntryRecord, acceptAway bool) bool {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
-	useful := false
-	away := outage{patience: awayPatience}
+	useful, blind := false, false
+	heard := c.timer.Now()
 	take := func(f kctport.FeedUpdate) {
 		now := c.timer.Now()
-		useful = useful || !f.Away || acceptAway && f.Full
-		if !useful && !acceptAway || away.lasts(now, f.Away) && c.storeInReach(ctx) {
+		if useful = useful || !f.Away || acceptAway; !f.Away {
+			heard = now
+		}
+		if !useful || now.Sub(heard) > awayPatience {
+			// Other readers may be served by the store, or this entry itself.
+			blind = true
 			cancel(errLookElsewhere)
 		}
 		c.update(ctx, func(s *state, now time.Time) []event { return s.fed(now, f) })
@@ -223,7 +241,7 @@
 		}
 	}
 	err := c.feed.Follow(ctx, reader, c.Self, take)
-	if ctx.Err() == nil || !useful {
+	if ctx.Err() == nil || !useful || blind {
 		c.failures[reader.ID] = c.timer.Now()
 	}
 	c.update(context.WithoutCancel(ctx), func(s *state, now time.Time) []event {
@@ -233,38 +251,12 @@
 	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errLookElsewhere) {
 		c.log.Believe("feed ended", string(reader.ID), errors.Join(context.Cause(ctx), err).Error(), 0)
 	}
-	if useful && errors.Is(context.Cause(ctx), errLookElsewhere) {
+	if useful && !blind && errors.Is(context.Cause(ctx), errLookElsewhere) {
 		c.spread(parent, claimSpread)
 	}
 	return useful
 }
 
-// outage follows how long a reader has been without the store.
-type outage struct {
-	since    time.Time
-	patience time.Duration
-}
-
-// lasts reports an outage that has taken longer than the patience, which doubles then: when the store is out for all, asking it is wasted.
-func (o *outage) lasts(now time.Time, away bool) bool {
-	switch {
-	case !away:
-		*o = outage{patience: awayPatience}
-	case o.since.IsZero():
-		o.since = now
-	case now.Sub(o.since) > o.patience:
-		o.since, o.patience = now, 2*o.patience
-		return true
-	}
-	return false
-}
-
-// storeInReach asks whether this entry reaches the store when its reader doesn't.
-func (c *Controller) storeInReach(ctx context.Context) bool {
-	_, err := c.registry.Readers(ctx)
-	return err == nil
-}
-
 // fed applies a reader's update.
 func (s *state) fed(now time.Time, f kctport.FeedUpdate) []event {
 	var events []event
