--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -95,7 +95,7 @@
 	return r
 }
 
-// Run, which is called once, starts the control goroutine and the one that follows the store or a reader; the channel closes when both have ended.
+// Run starts the control goroutine and the one that follows the store or a reader; the channel closes when both have ended. It is called once.
 func (c *Controller) Run(ctx context.Context) <-chan struct{} {
 	source := make(chan struct{})
 	go func() {
--- a/io/kctfeed/stream.go
+++ b/io/kctfeed/stream.go
@@ -2,14 +2,14 @@
 
 import (
 	"bufio"
-	"fmt"
 	"net"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
-	"k8s.io/klog/v2"
+
+	"kingcupturn/io/kctpeer"
 )
 
 const (
@@ -32,19 +32,10 @@
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = 0
 	c.LogOutput = nil
-	c.Logger = muxLogger{}
+	c.Logger = kctpeer.MuxLogger{}
 	return c
 }
 
-// muxLogger keeps yamux's messages out of the usual log; they repeat errors that end the feed anyway.
-type muxLogger struct{}
-
-func (muxLogger) Print(v ...any)   { klog.V(2).InfoS("yamux", "message", fmt.Sprint(v...)) }
-func (muxLogger) Println(v ...any) { klog.V(2).InfoS("yamux", "message", fmt.Sprint(v...)) }
-func (muxLogger) Printf(format string, v ...any) {
-	klog.V(2).InfoS("yamux", "message", fmt.Sprintf(format, v...))
-}
-
 // stream reads and writes messages with their length in front.
 type stream struct {
 	net.Conn
--- a/io/kctmetric/serving.go
+++ b/io/kctmetric/serving.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
 	kctport "kingcupturn"
 	"kingcupturn/core/kctforward"
@@ -54,7 +55,7 @@
 }
 
 // Follow adds gauges of the picture in force, and counters that other parts keep.
-func (m *Serving) Follow(fleets kctport.Fleets, timer kctport.Timer, opened, dropped func() uint64) {
+func (m *Serving) Follow(fleets kctport.Fleets, timer kctport.Timer, ejected func(now time.Time) []kctport.InstanceID, opened, dropped func() uint64) {
 	gauge := func(name, help string, read func(f *kctport.Fleet) float64) {
 		opts := prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}
 		m.registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return read(fleets.Fleet()) }))
@@ -77,6 +78,9 @@
 	gauge("store_age_seconds", "Time since the store was last heard, directly or by a reader.", func(f *kctport.Fleet) float64 {
 		return timer.Now().Sub(f.Contact).Seconds()
 	})
+	gauge("ejected_endpoints", "Endpoints that rest after failures seen by this entry.", func(*kctport.Fleet) float64 {
+		return float64(len(ejected(timer.Now())))
+	})
 	counter := func(name, help string, read func() uint64) {
 		opts := prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}
 		m.registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(read()) }))
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -95,7 +95,7 @@
 	n.control = kctfleet.New(n.self(), kctadapter.NewClient(settings.Store), kctfeed.NewClient(n.timer, kctadapter.Decode), n.timer, log,
 		kctfleet.WithPublished(n.follow), kctfleet.WithLoad(n.usage.Share), kctfleet.WithSeed(seed))
 	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
-	n.metrics.Follow(n.control, n.timer, n.egress.Opened, n.dropped)
+	n.metrics.Follow(n.control, n.timer, n.policies.Balancer.Ejected, n.egress.Opened, n.dropped)
 	engine := kctforward.NewEngine(n.control, n.timer, n.egress, n.policies, observers{log, n.metrics})
 	n.ingress = kctingress.New(settings.Caller, engine, n.control, kctadapter.Dialect{}, n.timer)
 	return n
--- a/io/kctpeer/conn.go
+++ b/io/kctpeer/conn.go
@@ -38,17 +38,20 @@
 	c.StreamOpenTimeout = 0
 	c.StreamCloseTimeout = graceDefault
 	c.LogOutput = nil
-	c.Logger = muxLogger{}
+	c.Logger = MuxLogger{}
 	return c
 }
 
-// muxLogger passes yamux's messages to klog; they repeat errors that callers get anyway.
-type muxLogger struct{}
+// MuxLogger passes yamux's messages to klog; they repeat errors that callers get anyway.
+type MuxLogger struct{}
 
-func (muxLogger) Print(v ...any) { klog.V(2).InfoS("yamux", "message", fmt.Sprint(v...)) }
+// Print logs at a verbose level.
+func (MuxLogger) Print(v ...any) { klog.V(2).InfoS("yamux", "message", fmt.Sprint(v...)) }
 
-func (muxLogger) Println(v ...any) { klog.V(2).InfoS("yamux", "message", fmt.Sprint(v...)) }
+// Println logs at a verbose level.
+func (MuxLogger) Println(v ...any) { klog.V(2).InfoS("yamux", "message", fmt.Sprint(v...)) }
 
-func (muxLogger) Printf(format string, v ...any) {
+// Printf logs at a verbose level.
+func (MuxLogger) Printf(format string, v ...any) {
 	klog.V(2).InfoS("yamux", "message", fmt.Sprintf(format, v...))
 }
