--- /dev/null
+++ b/core/kctfleet/bench_test.go
@@ -0,0 +1,57 @@
+package kctfleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	kctport "kingcupturn"
+)
+
+// BenchmarkChange measures one changed endpoint with the picture that follows, by the size of the fleet; docs/CAPACITY.md uses the slope.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{1_000, 10_000, 71_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			s := sized(n)
+			b.ReportAllocs()
+			revision := kctport.StoreRevision(n)
+			for b.Loop() {
+				revision++
+				s.apply(start, sizedServer(int(revision)%n, revision))
+				s.outbox = nil
+				s.fleet(start)
+			}
+		})
+	}
+}
+
+// BenchmarkBeat measures a subscriber's beat that says nothing new.
+func BenchmarkBeat(b *testing.B) {
+	s := sized(1_000)
+	member := kctport.FeedMember{Origin: "e", Entry: kctport.EntryRecord{ID: "m"}}
+	for b.Loop() {
+		s.members.set(member)
+		s.expire(start)
+	}
+}
+
+// sized has a number of endpoints in services of 17, and one entry for 17 endpoints.
+func sized(n int) *state {
+	s := newState(kctport.EntryRecord{ID: "e", Zone: "z"})
+	s.heard(start, 0)
+	for i := range n {
+		s.apply(start, sizedServer(i, kctport.StoreRevision(i+1)))
+	}
+	for i := range n / 17 {
+		e := kctport.EntryRecord{ID: kctport.InstanceID(fmt.Sprint("m", i)), Zone: kctport.Zone(fmt.Sprint("z", i%17)), Cores: 1, Load: 0.1}
+		s.members.set(kctport.FeedMember{Origin: "r", Entry: e})
+	}
+	s.expire(start.Add(time.Millisecond))
+	return s
+}
+
+func sizedServer(i int, revision kctport.StoreRevision) kctport.RegistryChange {
+	c := server(fmt.Sprint("i-", i), revision)
+	c.Server.Service = kctport.ServiceName(fmt.Sprint("s", i/17))
+	return c
+}
