--- a/io/kctegress/client_test.go
+++ b/io/kctegress/client_test.go
@@ -209,8 +209,8 @@
 	}
 }
 
-// TestConnectionLimit guards against more connections to an endpoint than this entry's share.
-func TestConnectionLimit(t *testing.T) {
+// TestShareOfConnections guards against more connections to an endpoint than this entry's share.
+func TestShareOfConnections(t *testing.T) {
 	s := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
 		time.Sleep(5 * time.Millisecond)
 		answer(c, r.Header.Get("Id"), "")
