Send nothing to an endpoint whose address has a new user

Cause: after an answer of 421 the endpoint kept its place in the choice, so that each request of its shard went to the wrong endpoint again until the record was gone. Such an arrival counts as an extra one at the service of the address's new user, which also gets the same gathered request on its own behalf.

Change: an endpoint that was answered for by another one gets nothing for 5 s, or until its record shows a new life.

TestMisdirected fails without the exclusion.

--- a/core/kctbalance/balance_test.go
+++ b/core/kctbalance/balance_test.go
@@ -168,3 +168,22 @@
 		}
 	}
 }
+
+// TestMisdirected guards against work for an address that another endpoint has taken: each such request counts as an extra attempt at that endpoint's service.
+func TestMisdirected(t *testing.T) {
+	b, f := New("", 1), fleet(0, 1, time.Time{}, "a", "b")
+	a := b.Start(start, f, Choice{Service: "s", Tried: []kctport.InstanceID{"b"}})
+	b.Finish(start, a, Outcome{Misdirected: true})
+	for range 20 {
+		if a := b.Start(start, f, Choice{Service: "s"}); a == nil || a.Server.ID != "b" {
+			t.Fatal("work for an endpoint whose address has a new user")
+		}
+	}
+	if a := b.Start(start, f, Choice{Service: "s", Tried: []kctport.InstanceID{"b"}}); a != nil {
+		t.Errorf("work for %s though only an endpoint is left whose address has a new user", a.Server.ID)
+	}
+	f.Servers["s"][0].Started = start.Add(time.Second)
+	if a := b.Start(start, f, Choice{Service: "s", Tried: []kctport.InstanceID{"b"}}); a == nil {
+		t.Error("no work for the next life of the endpoint")
+	}
+}
--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -80,7 +80,7 @@
 			continue
 		}
 		e := b.endpoint(s)
-		if s.ColdUntil.After(now) && !e.cold.open(now) {
+		if e.gone.After(now) || s.ColdUntil.After(now) && !e.cold.open(now) {
 			continue
 		}
 		if wait := e.rest.Sub(now); wait > 0 {
@@ -156,7 +156,9 @@
 	Latency time.Duration
 	// Failed is set when the endpoint failed or was silent, not when it refused or the caller left.
 	Failed bool
-	Load   *kctport.Load
+	// Misdirected is set when another endpoint answered at the address.
+	Misdirected bool
+	Load        *kctport.Load
 }
 
 // Finish takes the attempt off the pending ones and learns from it.
@@ -173,6 +175,8 @@
 	}
 	e.report(now, o.Load)
 	switch {
+	case o.Misdirected:
+		e.gone = now.Add(goneTime)
 	case o.Failed:
 		e.failed(now)
 	case o.Latency > 0:
@@ -190,7 +194,7 @@
 	defer b.mu.Unlock()
 	var ids []kctport.InstanceID
 	for id, e := range b.endpoints {
-		if e.rest.After(now) {
+		if e.rest.After(now) || e.gone.After(now) {
 			ids = append(ids, id)
 		}
 	}
--- a/core/kctbalance/endpoint.go
+++ b/core/kctbalance/endpoint.go
@@ -23,6 +23,8 @@
 	// firstRest and longestRest bound the exponential backoff of an ejected endpoint; a crashed one is back after a few seconds.
 	firstRest   = 400 * time.Millisecond
 	longestRest = 3 * time.Second
+	// goneTime outlasts the removal of the record of an endpoint that has ended, three heartbeats and the store's delay; a restarted one has a new life in its record.
+	goneTime = 5 * time.Second
 )
 
 // endpoint is what traffic knows of one life of an endpoint; the balancer's lock guards it.
@@ -38,7 +40,9 @@
 	failures int
 	rest     time.Time
 	restFor  time.Duration
-	cold     coldGate
+	// gone is until when the endpoint gets nothing, since another one answered at its address.
+	gone time.Time
+	cold coldGate
 }
 
 func newEndpoint(started time.Time) *endpoint {
--- a/forward.go
+++ b/forward.go
@@ -41,6 +41,8 @@
 	Signature string
 	// NotRun is the endpoint's statement that it has not run the request and will not.
 	NotRun bool
+	// Misdirected is set when another endpoint than the one addressed answered: the address has a new user.
+	Misdirected bool
 	// Load is nil when the endpoint did not report it.
 	Load *Load
 	// Cold is how much longer the endpoint stays cold.
