Make the refusal of a key final, so that no late send runs after 'not run'

Cause: a key that was refused as not run could be used again. Sends carry their remaining time, so that one that waited at a paused entry or in its socket was run after a later send of the same key had been refused, and the caller had been told 'not run'.

Ruled out: forwards that never reached the issuer (they end as unknown).

Change: each outcome of a key is final, refusals too; a full table tells 'unknown', since it can't remember the refusal. Callers take a new key after 'not run'. The models of both histories are stricter: after 'not run' nothing else may be seen of the key. The row 'no room' of TestKeys asked for 'not run', which the table can't promise; it now refuses that answer.

TestRefusalIsFinal and TestHistories fail without the change.

--- a/cmd/kingcupturn/once_test.go
+++ b/cmd/kingcupturn/once_test.go
@@ -152,7 +152,7 @@
 	}
 }
 
-// onceModel accepts the histories of one key in which a request reported done stays done.
+// onceModel accepts the histories of one key in which a request reported done stays done and one reported as not run never runs.
 func onceModel() porcupine.Model {
 	return porcupine.Model{
 		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
@@ -170,9 +170,9 @@
 		Step: func(state, _, output any) (bool, any) {
 			switch {
 			case output == "done":
-				return true, "done"
+				return state != "no", "done"
 			case output == "no":
-				return state != "done", state
+				return state != "done", "no"
 			}
 			return true, state
 		},
--- a/core/kctonce/run.go
+++ b/core/kctonce/run.go
@@ -11,13 +11,13 @@
 	kctport "kingcupturn"
 )
 
-// Runner performs an execution; an error that wraps ErrNotRun and not ErrUnknown allows another run.
+// Runner performs an execution; an error that wraps ErrNotRun and not ErrUnknown says that nothing ran.
 type Runner func(context.Context, kctport.Execution) (kctport.Result, error)
 
-// use is a key that was used: the body it is bound to and its last run.
+// use is a key that was used: the body it is bound to and its only run.
 type use struct {
 	digest  uint64
-	last    *outcome
+	outcome *outcome
 	expires time.Time
 }
 
@@ -37,16 +37,6 @@
 	}
 }
 
-// again reports whether the run ended with the proof that it did not happen.
-func (o *outcome) again() bool {
-	select {
-	case <-o.done:
-		return notRun(o.err)
-	default:
-		return false
-	}
-}
-
 func notRun(err error) bool {
 	return errors.Is(err, kctport.ErrNotRun) && !errors.Is(err, kctport.ErrUnknown)
 }
@@ -69,20 +59,18 @@
 	switch {
 	case ok && u.digest != digest:
 		return nil, false, invalid("key was used with another request")
-	case ok && !u.last.again():
-		return u.last, false, nil
-	case !ok:
-		if t.used.Load() >= t.capacity {
-			return nil, false, errFull
-		}
-		u = &use{digest: digest, expires: expires}
-		s.uses[k.number] = u
-		s.order = append(s.order, k.number)
-		t.used.Add(1)
+	case ok:
+		// A refusal is final too: another send of the request may still be on its way through a slow entry, and must not run after "not run" was said.
+		return u.outcome, false, nil
+	case t.used.Load() >= t.capacity:
+		return nil, false, errFull
 	}
-	u.last = &outcome{done: make(chan struct{})}
+	u = &use{digest: digest, expires: expires, outcome: &outcome{done: make(chan struct{})}}
+	s.uses[k.number] = u
+	s.order = append(s.order, k.number)
+	t.used.Add(1)
 	t.running.Add(1)
-	return u.last, true, nil
+	return u.outcome, true, nil
 }
 
 // forget drops expired keys in the order of first use and returns their number.
--- a/core/kctonce/table.go
+++ b/core/kctonce/table.go
@@ -25,7 +25,7 @@
 // Option changes a setting of a Table.
 type Option func(*Table)
 
-// WithCapacity sets the number of used keys remembered; beyond it unused keys are refused as not run.
+// WithCapacity sets the number of used keys remembered; beyond it unused keys are refused for the moment.
 func WithCapacity(n int) Option {
 	return func(t *Table) { t.capacity = int64(n) }
 }
@@ -129,5 +129,5 @@
 	return k, nil
 }
 
-// errFull is returned for an unused key when the table remembers as many as it may.
-var errFull = eris.Wrap(errors.Join(kctport.ErrShed, kctport.ErrNotRun), "too many keys in use")
+// errFull is returned for an unused key when the table remembers as many as it may; the refusal can't be remembered, so that a later send may run.
+var errFull = eris.Wrap(errors.Join(kctport.ErrShed, kctport.ErrUnknown), "too many keys in use")
--- a/core/kctonce/table_test.go
+++ b/core/kctonce/table_test.go
@@ -54,7 +54,7 @@
 			{"not issued", forged[0], "a", kctport.ErrNotRun, kctport.ErrUnknown},
 			{"malformed", "x", "a", kctport.ErrInvalid, kctport.ErrUnknown},
 			{"second", keys[1], "a", nil, nil},
-			{"no room", keys[2], "a", kctport.ErrShed, kctport.ErrUnknown},
+			{"no room", keys[2], "a", kctport.ErrShed, kctport.ErrNotRun},
 		}
 		for _, c := range cases {
 			if err := run(c.key, c.body); !errors.Is(err, c.want) || c.not != nil && errors.Is(err, c.not) {
@@ -81,10 +81,14 @@
 	err error
 }
 
-// lost is the state of a key whose run took place without a reply.
-const lost = -1
+const (
+	// lost is the state of a key whose run took place without a reply.
+	lost = -1
+	// refused is the state of a key of which "not run" was said.
+	refused = -2
+)
 
-// model is the sequential rule of a key: its state is the number of the run whose result is repeated, 0 while it did not run.
+// model is the sequential rule of a key: its state is the number of the run whose result is repeated, 0 before its first use.
 var model = porcupine.Model{
 	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
 		byKey := map[int][]porcupine.Operation{}
@@ -105,7 +109,7 @@
 		case o.err == nil:
 			return s == 0 || s == o.ran, o.ran
 		case notRun(o.err):
-			return s == 0, 0
+			return s == 0 || s == refused, refused
 		case errors.Is(o.err, kctport.ErrReset):
 			return s == 0 || s == lost, lost
 		default:
@@ -183,3 +187,23 @@
 	}
 	return kctport.Result{Key: fmt.Sprint(runs.Add(1))}, nil
 }
+
+// TestRefusalIsFinal guards against a request that runs after its caller was told that it did not: an earlier send with the same
+// key may arrive late, since the entry that issued the key was paused.
+func TestRefusalIsFinal(t *testing.T) {
+	table := NewTable("entry", 1, clock{})
+	keys, _ := table.Issue(1)
+	refuse := func(context.Context, kctport.Execution) (kctport.Result, error) {
+		return kctport.Result{}, kctport.ErrNotRun
+	}
+	if _, err := table.Run(t.Context(), kctport.Execution{Key: keys[0]}, refuse); !notRun(err) {
+		t.Fatalf("the refused send ended with %v", err)
+	}
+	late := func(context.Context, kctport.Execution) (kctport.Result, error) {
+		t.Error("the late send ran after the refusal")
+		return kctport.Result{}, nil
+	}
+	if _, err := table.Run(t.Context(), kctport.Execution{Key: keys[0]}, late); !notRun(err) {
+		t.Errorf("the late send ended with %v", err)
+	}
+}
