Read the store at once when an entry starts

Cause: an entry that started waited up to 0.4 s, then asked for the zones' readers, which after a loss of power know no more than it does, and read the store last. One page of the store holds all records of today's deployments, so that reading it costs as much as reading the readers.

Change: the first call reads everything; the spread comes after it, before the claim of the zone.

--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -183,10 +183,11 @@
 		b := New(entryRecord("b", "y", 2), store, mesh, kcttimer.New(), silent{}, WithSeed(2))
 		mesh.sources[1], mesh.sources[2] = a, b
 		ends := []<-chan struct{}{a.Run(ctx), b.Run(ctx)}
-		time.Sleep(time.Second)
+		time.Sleep(50 * time.Millisecond)
 		if version(a) != 3 || version(b) != 3 {
-			t.Errorf("versions %d and %d a second after the start, want 3", version(a), version(b))
+			t.Errorf("versions %d and %d right after the start, want 3", version(a), version(b))
 		}
+		time.Sleep(time.Second)
 		cancel()
 		for _, e := range ends {
 			<-e
--- a/core/kctfleet/follow.go
+++ b/core/kctfleet/follow.go
@@ -25,14 +25,19 @@
 			c.failed(ctx, err)
 			continue
 		}
-		c.update(ctx, func(s *state, now time.Time) []event {
-			events := s.heard(now, 0)
-			return append(events, s.load(now, l.Changes)...)
-		})
+		c.loaded(ctx, l)
 		c.watch(ctx, l.Revision)
 	}
 }
 
+// loaded takes a complete reading of the store.
+func (c *Controller) loaded(ctx context.Context, l kctport.RegistryState) {
+	c.update(ctx, func(s *state, now time.Time) []event {
+		events := s.heard(now, 0)
+		return append(events, s.load(now, l.Changes)...)
+	})
+}
+
 // watch follows changes until the history has a gap.
 func (c *Controller) watch(ctx context.Context, after kctport.StoreRevision) {
 	for ctx.Err() == nil {
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -23,8 +23,8 @@
 	claimSpread = 500 * time.Millisecond
 	// claimInterval bounds the attempts of an entry that the store refuses.
 	claimInterval = 3 * time.Second
-	// quickTimeout bounds the small call with which an entry starts: it serves nobody until then, and a store that has just come back
-	// answers a new call sooner than the one that was lost.
+	// quickTimeout bounds the first calls of an entry: it serves nobody until then, and a store that has just come back answers a new
+	// call sooner than the one that was lost.
 	quickTimeout = 400 * time.Millisecond
 	// soloTime is how long an entry that reaches no reader follows the store itself before it looks for one again.
 	soloTime = 3 * time.Second
@@ -44,6 +44,7 @@
 
 // source keeps this entry informed until the context ends: as its zone's reader, from a reader, or from the store alone.
 func (c *Controller) source(ctx context.Context) {
+	c.first(ctx)
 	c.spread(ctx, startSpread)
 	for ctx.Err() == nil {
 		readers, err := c.knownReaders(ctx)
@@ -66,6 +67,19 @@
 	}
 }
 
+// first reads the store once. An entry that starts serves nobody until it has a picture, and after a loss of power the readers in the
+// store's records know no more than this entry. Without an answer in time the readers are tried, whose feeds are compressed.
+func (c *Controller) first(ctx context.Context) {
+	quick, cancel := context.WithTimeout(ctx, quickTimeout)
+	defer cancel()
+	l, err := c.registry.Load(quick)
+	if err != nil {
+		c.log.Believe("store not read at the start", "", err.Error(), 0)
+		return
+	}
+	c.loaded(ctx, l)
+}
+
 func (c *Controller) spread(ctx context.Context, most time.Duration) {
 	c.pause(ctx, time.Duration(c.random.Int64N(int64(most))))
 }
