--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// otherZone is the preference for an endpoint of the entry's own zone: a crossing adds about 2 ms to a work of 7 to 20 ms, and its bytes are paid for.
-	otherZone = 1.8
+	// otherZone is the preference for an endpoint of the entry's own zone: a crossing adds about 2 ms to a work of 7 to 20 ms, and its bytes are
+	// paid for. Lower values cross often, higher ones wait for a slow endpoint of the own zone (docs/MEASUREMENTS.md).
+	otherZone = 3.0
 	// coldPenalty sends work to a cold endpoint only when the others are busy; cold endpoints work 1.6 times as long.
 	coldPenalty = 4.0
 	// jitter keeps entries with the same picture from choosing the same endpoint.
--- a/core/kctbalance/hedge.go
+++ b/core/kctbalance/hedge.go
@@ -11,8 +11,8 @@
 	hedgeSamples = 200
 	// hedgeRefresh is how many new latencies pass between two computations.
 	hedgeRefresh = 20
-	// hedgeQuantile leaves 10 in 100 attempts to be hedged, half of the budget of 0.2.
-	hedgeQuantile = 0.9
+	// hedgeQuantile leaves 5 in 100 attempts to be hedged, a quarter of the budget of 0.2; pauses take 4 in 100 of an endpoint's time.
+	hedgeQuantile = 0.95
 )
 
 // Delays follows the latencies of each route and says when a second attempt is worth its cost.
