Presume other entries at the start; take the bounds of cold endpoints and of changes from the settings

Cause: an entry that starts alone, or whose store is out, knows only itself and took the whole slack of extra attempts, connections and cold starts until it had heard of the others. The cold bound and the longest watch were constants that fit today's sites only.

Zones, cold bound and the time for changes come from the settings. TestLoneStart fails without the presumption.

--- a/core/kctbalance/balance_test.go
+++ b/core/kctbalance/balance_test.go
@@ -92,7 +92,7 @@
 				n++
 			}
 		}
-		if bound := rate*coldOvershoot + coldSlack; float64(n) > bound {
+		if bound := rate*defaultOvershoot + defaultColdSlack; float64(n) > bound {
 			t.Fatalf("%d requests in one second, at most %v are allowed", n, bound)
 		}
 	}
--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -34,6 +34,7 @@
 // Balancer chooses endpoints; it is safe for concurrent use.
 type Balancer struct {
 	zone kctport.Zone
+	cold ColdBounds
 
 	mu        sync.Mutex
 	random    *rand.Rand
@@ -42,12 +43,24 @@
 	number    uint64
 }
 
+// Option changes a balancer at construction.
+type Option func(*Balancer)
+
+// WithColdBounds sets the bound on requests to cold endpoints.
+func WithColdBounds(c ColdBounds) Option {
+	return func(b *Balancer) { b.cold = c }
+}
+
 // New returns a balancer for an entry of the zone; the seed drives the choice between endpoints that are alike.
-func New(zone kctport.Zone, seed uint64) *Balancer {
-	return &Balancer{
-		zone: zone, random: rand.New(rand.NewPCG(seed, seed)),
+func New(zone kctport.Zone, seed uint64, opts ...Option) *Balancer {
+	b := &Balancer{
+		zone: zone, cold: ColdBounds{defaultOvershoot, defaultColdSlack}, random: rand.New(rand.NewPCG(seed, seed)),
 		endpoints: map[kctport.InstanceID]*endpoint{}, usual: map[string]time.Duration{},
 	}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
 }
 
 // Choice is what one attempt may use.
@@ -73,7 +86,7 @@
 	rule := fleet.Rules.Services[choice.Service]
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	spacing := coldSpacing(rule.ColdRate, fleet.Sharers)
+	spacing := b.cold.spacing(rule.ColdRate, fleet.Sharers)
 	var best, resting *kctport.FleetServer
 	var bestScore, soonest float64
 	for _, s := range fleet.Servers[choice.Service] {
--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -38,6 +38,9 @@
 	leaving atomic.Bool
 	load    func() float64
 	random  *rand.Rand
+	zones   int
+	// watchWait bounds how long a connection to the store that went silent hides changes.
+	watchWait time.Duration
 	// claimed is when the source goroutine last tried to become the zone's reader.
 	claimed time.Time
 	// failures is when the source goroutine last lost each reader's feed.
@@ -68,12 +71,22 @@
 	return func(c *Controller) { c.random = rand.New(rand.NewPCG(seed, seed)) }
 }
 
+// WithZones sets the number of availability zones, from which an entry that has just started estimates how many others share fleet-wide limits.
+func WithZones(zones int) Option {
+	return func(c *Controller) { c.zones = zones }
+}
+
+// WithApply sets the time within which a change of the rules must be in force.
+func WithApply(apply time.Duration) Option {
+	return func(c *Controller) { c.watchWait = min(longestWatch, time.Duration(watchShare*float64(apply))) }
+}
+
 // New returns a controller; nothing runs before Run.
 func New(self kctport.EntryRecord, registry kctport.Registry, feed kctport.Feed, timer kctport.Timer, log Logger, opts ...Option) *Controller {
 	c := &Controller{
 		self: self, registry: registry, feed: feed, timer: timer, log: log, inbox: make(chan update), stopped: make(chan struct{}),
 		load: func() float64 { return 0 }, random: rand.New(rand.NewPCG(1, 1)), subscribers: map[*subscription]bool{},
-		failures: map[kctport.InstanceID]time.Time{},
+		failures: map[kctport.InstanceID]time.Time{}, watchWait: longestWatch,
 	}
 	c.fleet.Store(&kctport.Fleet{Sharers: 1, Senders: 1})
 	c.readers.Store(&[]kctport.EntryRecord{})
@@ -118,6 +131,7 @@
 // control applies updates one at a time and publishes a picture after each that changed something.
 func (c *Controller) control(ctx context.Context) {
 	s := newState(c.self)
+	s.presume(c.zones*minActive, c.timer.Now())
 	ticks := c.timer.Subscribe(ctx, tickInterval)
 	for {
 		var events []event
--- a/core/kctfleet/follow.go
+++ b/core/kctfleet/follow.go
@@ -9,8 +9,10 @@
 )
 
 const (
-	// watchWait bounds how long a connection that went silent hides changes; rules must be in force within 3 s of their acceptance.
-	watchWait = 2500 * time.Millisecond
+	// longestWatch is the longest wait for changes; a watch that returns without any is a priced call.
+	longestWatch = 2500 * time.Millisecond
+	// watchShare bounds the wait by the time within which rules must be in force, so that a connection that went silent doesn't hide them.
+	watchShare = 0.83
 	// watchPause lets changes gather, since each watch that returns is a priced call.
 	watchPause = 150 * time.Millisecond
 	// retryPause is the wait after a failed call of the store.
@@ -41,7 +43,7 @@
 // watch follows changes until the history has a gap.
 func (c *Controller) watch(ctx context.Context, after kctport.StoreRevision) {
 	for ctx.Err() == nil {
-		changes, revision, err := c.registry.Watch(ctx, after, watchWait)
+		changes, revision, err := c.registry.Watch(ctx, after, c.watchWait)
 		if errors.Is(err, kctport.ErrCompacted) {
 			c.log.Believe("store history compacted", "", err.Error(), 0)
 			return
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -41,9 +41,12 @@
 	// outbox holds changes that subscribers have not been told yet.
 	outbox []kctport.RegistryChange
 	// sharers holds the last time each entry was known to be present.
-	sharers  map[kctport.InstanceID]time.Time
-	active   activeSet
-	draining bool
+	sharers map[kctport.InstanceID]time.Time
+	// presumed is the number of sharers that is assumed until the entry has run long enough to have heard of all.
+	presumed      int
+	presumedUntil time.Time
+	active        activeSet
+	draining      bool
 }
 
 func newState(self kctport.EntryRecord) *state {
@@ -53,6 +56,11 @@
 	}
 }
 
+// presume assumes a number of sharers for the first time of an entry's life, in which it may not have heard of the others.
+func (s *state) presume(sharers int, now time.Time) {
+	s.presumed, s.presumedUntil = sharers, now.Add(sharerMemory)
+}
+
 // heard notes that the store answered, this entry or the reader that it follows, some time ago.
 func (s *state) heard(now time.Time, age time.Duration) []event {
 	at := now.Add(-age)
@@ -196,15 +204,22 @@
 		}
 	}
 	f.Sharers = len(s.sharers)
+	if now.Before(s.presumedUntil) {
+		f.Sharers = max(f.Sharers, s.presumed)
+	}
 	f.Active = s.active.choose(f.Entries)
-	f.Senders = s.senders(f)
+	f.Senders = s.senders(f, now)
 	return f
 }
 
 // senders counts the active entries and one that may just have been one; an entry without callers takes a smaller share.
-func (s *state) senders(f *kctport.Fleet) int {
+func (s *state) senders(f *kctport.Fleet, now time.Time) int {
 	if slices.ContainsFunc(f.Active, func(e kctport.EntryRecord) bool { return e.ID == s.self.ID }) {
-		return min(f.Sharers, len(f.Active)+1)
+		active := len(f.Active) + 1
+		if now.Before(s.presumedUntil) {
+			active = max(active, s.presumed)
+		}
+		return min(f.Sharers, active)
 	}
 	return f.Sharers
 }
--- a/core/kctfleet/state_test.go
+++ b/core/kctfleet/state_test.go
@@ -176,3 +176,16 @@
 		}
 	}
 }
+
+// TestLoneStart guards against entries that start together and each take the whole of a fleet-wide limit until they hear of one another.
+func TestLoneStart(t *testing.T) {
+	s := newState(kctport.EntryRecord{ID: "e", Zone: "a"})
+	s.presume(9, start)
+	s.refresh(s.self)
+	if f := s.fleet(start); f.Sharers != 9 || f.Senders != 9 {
+		t.Errorf("%d sharers and %d senders at the start, want 9", f.Sharers, f.Senders)
+	}
+	if f := s.fleet(start.Add(sharerMemory)); f.Sharers != 1 || f.Senders != 1 {
+		t.Errorf("%d sharers and %d senders of an entry that stays alone, want 1", f.Sharers, f.Senders)
+	}
+}
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -87,13 +87,14 @@
 	log := kctlog.Decisions{}
 	seed := uint64(n.timer.Now().UnixNano())
 	n.policies = kctforward.Policies{
-		Balancer: kctbalance.New(settings.Zone, seed),
+		Balancer: kctbalance.New(settings.Zone, seed, kctbalance.WithColdBounds(kctbalance.ColdBounds{Overshoot: settings.Overshoot, Slack: settings.ColdSlack})),
 		Budget:   kctbalance.NewBudget(*n.bounds.Load()),
 		Delays:   kctbalance.NewDelays(), Splitter: kctroutes.NewSplitter(),
 	}
 	n.usage = kctusage.New(n.timer, settings.Cores)
 	n.control = kctfleet.New(n.self(), kctadapter.NewClient(settings.Store), kctfeed.NewClient(n.timer, kctadapter.Decode), n.timer, log,
-		kctfleet.WithPublished(n.follow), kctfleet.WithLoad(n.usage.Share), kctfleet.WithSeed(seed))
+		kctfleet.WithPublished(n.follow), kctfleet.WithLoad(n.usage.Share), kctfleet.WithSeed(seed),
+		kctfleet.WithZones(settings.Zones), kctfleet.WithApply(settings.Apply))
 	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
 	n.metrics.Follow(n.control, n.timer, n.policies.Balancer.Ejected, n.egress.Opened, n.dropped)
 	engine := kctforward.NewEngine(n.control, n.timer, n.egress, n.policies, observers{log, n.metrics})
--- a/io/kctsetting/serve.go
+++ b/io/kctsetting/serve.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/peterbourgon/ff/v3"
@@ -34,6 +35,13 @@
 	// Ratio and Slack bound extra attempts at a service over all entries: a share of its requests, and a number beyond it in one window.
 	Ratio float64
 	Slack float64
+	// Zones is the number of availability zones of the deployment; 0 when unknown.
+	Zones int
+	// Overshoot and ColdSlack bound the requests that a cold endpoint gets in one second over all entries: its rate times the one plus the other.
+	Overshoot float64
+	ColdSlack float64
+	// Apply is the time within which a change of the rules must be in force.
+	Apply time.Duration
 }
 
 // The bounds and defaults of the serving settings; the platform's site files give the usual values.
@@ -49,13 +57,20 @@
 	maxCores      = 256
 	defaultSlack  = 50
 	maxSlack      = 1e6
+	minApply      = 500 * time.Millisecond
+	maxApply      = time.Minute
+	defaultApply  = "3s"
+	// defaultOvershoot and defaultColdSlack are the users' bounds on cold endpoints.
+	defaultOvershoot = 1.5
+	defaultColdSlack = 5
+	maxOvershoot     = 100
 )
 
 // ServingValues holds the settings as text, so that all problems are found in one pass.
 type ServingValues struct {
-	id, zone, caller, ready, directory, metrics, peer, store, grace string
-	memory                                                          int
-	ratio, slack, quota, cores                                      float64
+	id, zone, caller, ready, directory, metrics, peer, store, grace, zones, apply string
+	memory                                                                        int
+	ratio, slack, quota, cores, overshoot, coldSlack                              float64
 }
 
 // RegisterServing adds the flags of the settings to a flag set.
@@ -76,6 +91,10 @@
 	set.Float64Var(&v.cores, "cores", 1, "number of cores, above 0 to 256")
 	set.Float64Var(&v.ratio, "ratio", defaultRatio, "extra attempts at a service over all entries, as a share of its requests, 0 to 1")
 	set.Float64Var(&v.slack, "slack", defaultSlack, "extra attempts beyond the share in one window, 0 to 1000000")
+	set.StringVar(&v.zones, "zones", "", "names of all availability zones, separated by commas")
+	set.StringVar(&v.apply, "apply", defaultApply, "time within which a change of the rules must be in force, 500ms to 1m")
+	set.Float64Var(&v.overshoot, "overshoot", defaultOvershoot, "factor of a cold endpoint's rate that all entries together may send in one second, 0 to 100")
+	set.Float64Var(&v.coldSlack, "coldslack", defaultColdSlack, "requests to a cold endpoint beyond that in one second, 0 to 1000000")
 	return &v
 }
 
@@ -112,7 +131,8 @@
 		Caller: p.address("caller", v.caller), Ready: p.address("ready", v.ready), Directory: p.address("directory", v.directory),
 		Metrics: p.address("metrics", v.metrics), Peer: p.address("peer", v.peer), Store: p.address("store", v.store),
 		Cores: v.quota * v.cores, Memory: v.memory, Ratio: v.ratio, Slack: v.slack,
-		Grace: p.duration("grace", v.grace, minGrace, maxGrace),
+		Overshoot: v.overshoot, ColdSlack: v.coldSlack, Zones: countNames(v.zones),
+		Grace: p.duration("grace", v.grace, minGrace, maxGrace), Apply: p.duration("apply", v.apply, minApply, maxApply),
 	}
 	p.between("memory", v.memory, minMemory, maxMemory)
 	p.share("quota", v.quota, 1)
@@ -122,9 +142,16 @@
 	}
 	p.share("ratio", v.ratio, maxRatio)
 	p.share("slack", v.slack, maxSlack)
+	p.share("overshoot", v.overshoot, maxOvershoot)
+	p.share("coldslack", v.coldSlack, maxSlack)
 	return s, p.err()
 }
 
+// countNames counts the names of a list that is separated by commas.
+func countNames(list string) int {
+	return len(strings.FieldsFunc(list, func(r rune) bool { return r == ',' }))
+}
+
 // share accepts numbers from 0 to a bound.
 func (p *problems) share(field string, value, high float64) {
 	if !(value >= 0 && value <= high) {
