Use one client and one stand-in of the store for both interfaces

Cause: the product's own interface spoke an invented protocol of a store and of a list of instances, with a client (io/kctplatform) and a stand-in of its own beside those of the users' platform.

Change: platform.Records serves the ports Store and Directory on the published protocol; io/kctplatform and the invented protocol are gone, and kctfake.Platform wraps platform.StandIn. Entries announce themselves under a lease, so that no list has to name them. Tasks of control that fail are logged once; they failed in silence before.

--- a/cmd/kingcupturn/process_test.go
+++ b/cmd/kingcupturn/process_test.go
@@ -104,15 +104,12 @@
 	return ports[0]
 }
 
-func startEntry(t *testing.T, n int, platform netip.AddrPort, list kctfake.Registrar) *entry {
+func startEntry(t *testing.T, n int, platform netip.AddrPort) *entry {
 	t.Helper()
 	e := &entry{id: fmt.Sprintf("entry-%d", n), caller: freePort(t), peer: freePort(t)}
 	zone := []string{"a", "b", "c"}[n%3]
 	e.process = start(t, "kingcupturn", "entry", "--id", e.id, "--zone", zone, "--peer", e.peer.String(),
 		"--caller", e.caller.String(), "--platform", platform.String(), "--lifetime", "2s")
-	list.Register(kctport.InstanceID(e.id), kctwire.Registration{
-		Role: kctwire.RoleEntry, Zone: kctport.Zone(zone), Peer: e.peer, Caller: e.caller,
-	})
 	return e
 }
 
@@ -209,7 +206,7 @@
 	list := kctfake.NewRemotePlatform(platform)
 	var entries []*entry
 	for n := range 8 {
-		entries = append(entries, startEntry(t, n, platform, list))
+		entries = append(entries, startEntry(t, n, platform))
 	}
 	if err := list.Err(); err != nil {
 		t.Fatal(err)
@@ -243,7 +240,7 @@
 	}
 	t.Cleanup(d.fleet.Stop)
 	for n := range entries {
-		d.entries = append(d.entries, startEntry(t, n, address, d.platform))
+		d.entries = append(d.entries, startEntry(t, n, address))
 	}
 	waitWhole(t, d.entries, names)
 	return d
--- a/core/kctcontrol/controller.go
+++ b/core/kctcontrol/controller.go
@@ -80,6 +80,8 @@
 	reports   uint64
 	lastShare time.Time
 
+	troubles troubles
+
 	tracker *kctmove.Tracker
 	// cuts has the evidence for which a move's new version gets nothing, by move.
 	cuts     map[string]string
@@ -147,6 +149,7 @@
 		versions:     make(map[kctport.ServiceName]kctport.VersionName),
 		warming:      make(map[kctport.Zone]time.Time),
 		dirty:        make(map[kctport.ServiceName]bool),
+		troubles:     troubles{report: func(string, error) {}, failing: make(map[string]bool)},
 		told:         make(map[kctport.InstanceID]kctport.Incarnation),
 		returned:     make(map[kctport.Zone]time.Time),
 		cuts:         make(map[string]string),
@@ -170,6 +173,7 @@
 	tasks := newTasks(ctx)
 	c.send = tasks.start
 	tasks.start(c.pollDirectory)
+	tasks.start(c.announce)
 	tasks.start(c.followStore)
 	tasks.start(c.pollEndpoints)
 	go func() {
--- a/core/kctcontrol/poll.go
+++ b/core/kctcontrol/poll.go
@@ -47,6 +47,7 @@
 		call, cancel := context.WithTimeout(ctx, 2*time.Second)
 		endpoints, members, err := c.ports.Directory.Instances(call)
 		cancel()
+		c.trouble("read the list of instances", err)
 		if err == nil {
 			c.post(ctx, listed{endpoints: endpoints, members: members})
 		}
@@ -65,14 +66,18 @@
 		switch {
 		case err == nil && record.Version > 0:
 			version = record.Version
+			c.trouble("read the configuration", nil)
 			config, err := c.codec.Decode(record.Value)
+			c.trouble("decode the configuration", err)
 			if err == nil {
 				c.post(ctx, configSeen{config: config, fromStore: true})
 			}
 		case err == nil, errors.Is(err, kctport.ErrTimeout), errors.Is(err, kctport.ErrNotFound):
+			c.trouble("read the configuration", nil)
 			c.post(ctx, storeHeard{})
 			c.sleep(ctx, retryPeriod)
 		default:
+			c.trouble("read the configuration", err)
 			c.sleep(ctx, retryPeriod)
 		}
 	}
--- a/io/kctentry/cluster_test.go
+++ b/io/kctentry/cluster_test.go
@@ -86,7 +86,6 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r := &running{entry: New(s, WithStrictChecks()), stop: stop, done: make(chan error, 1)}
 	go func() { r.done <- r.entry.Run(ctx) }()
-	c.platform.Register(s.ID, kctwire.Registration{Role: "entry", Zone: s.Zone, Peer: s.Peer, Caller: s.Caller})
 	c.entries = append(c.entries, r)
 	return r
 }
--- a/io/kctentry/entry.go
+++ b/io/kctentry/entry.go
@@ -25,9 +25,9 @@
 	"kingcupturn/io/kcthttp"
 	"kingcupturn/io/kctmetric"
 	"kingcupturn/io/kctpeer"
-	"kingcupturn/io/kctplatform"
 	"kingcupturn/io/kctsetting"
 	"kingcupturn/io/kcttimer"
+	kctadapter "kingcupturn/platform"
 )
 
 // Entry is one entry daemon.
@@ -93,7 +93,9 @@
 }
 
 func (e *Entry) wireControl() {
-	platform := kctplatform.New(e.settings.Platform)
+	platform := kctadapter.NewRecords(e.settings.Platform, kctadapter.WithUnusable(func(key string, err error) {
+		klog.V(1).InfoS("record unusable", "key", key, "err", err)
+	}))
 	e.backend = kctbackend.New(e.timer, kctbackend.WithConnections(e.settings.Connections))
 	e.mesh = kctpeer.New(e.self, e.timer, kctpeer.WithConfigCodec(kctcodec.EncodeConfig, kctcodec.DecodeConfig),
 		kctpeer.WithBroken(func(id kctport.InstanceID) { e.control.Broken(id) }))
@@ -102,7 +104,17 @@
 	codec := kctcontrol.Codec{Encode: kctcodec.EncodeConfig, Decode: kctcodec.DecodeConfig}
 	e.control = kctcontrol.New(e.self, ports, codec, int64(e.self.Incarnation),
 		kctcontrol.WithSeeds(e.settings.Seeds), kctcontrol.WithInFlight(e.gates.InFlight), kctcontrol.WithOwners(e.owners()),
-		kctcontrol.WithWelcome(e.tellSuspicions), kctcontrol.WithLoop(e.metrics.Loop))
+		kctcontrol.WithWelcome(e.tellSuspicions), kctcontrol.WithLoop(e.metrics.Loop),
+		kctcontrol.WithTrouble(troubled))
+}
+
+// troubled logs a task of control that begins to fail or works again.
+func troubled(task string, err error) {
+	if err == nil {
+		klog.InfoS("control task works again", "task", task)
+		return
+	}
+	klog.ErrorS(err, "control task fails", "task", task)
 }
 
 func (e *Entry) wireTraffic() {
--- a/io/kctentry/promise_test.go
+++ b/io/kctentry/promise_test.go
@@ -109,7 +109,6 @@
 		if err := <-old.done; err != nil {
 			t.Errorf("entry %s ended with %v", old.entry.self.ID, err)
 		}
-		c.platform.Remove(old.entry.self.ID)
 		old.done <- nil
 	}
 	time.Sleep(time.Second)
--- a/io/kctfake/endpoint.go
+++ b/io/kctfake/endpoint.go
@@ -109,7 +109,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return kctwire.Registration{
-		Role:    kctwire.RoleEndpoint,
 		Service: e.settings.service,
 		Zone:    e.settings.zone,
 		Version: e.settings.version,
--- a/io/kctfake/endpoint_test.go
+++ b/io/kctfake/endpoint_test.go
@@ -47,8 +47,8 @@
 	return p, f, c
 }
 
-func call(c *kctbackend.Client, e kctwire.Endpoint, shard int, route, body string) error {
-	_, err := c.Call(context.Background(), kctport.Endpoint(e), kctport.PartCall{
+func call(c *kctbackend.Client, e kctport.Endpoint, shard int, route, body string) error {
+	_, err := c.Call(context.Background(), e, kctport.PartCall{
 		Request: body, Part: kctport.Part{Service: e.Service, Shard: shard}, Shards: 2, Snapshot: 1,
 		Route: route, Body: []byte(body), Deadline: time.Now().Add(patience),
 	})
@@ -59,7 +59,7 @@
 func TestFleet(t *testing.T) {
 	p, _, c := fleet(t)
 	seen := map[kctport.Zone]int{}
-	for n, e := range p.Instances().Endpoints {
+	for n, e := range p.Endpoints() {
 		if err := call(c, e, n%2, "", "x"); err != nil {
 			t.Errorf("%s: %v", e.ID, err)
 		}
@@ -71,7 +71,7 @@
 }
 
 // send sends a command to the HTTP interface of an endpoint.
-func send(t *testing.T, e kctwire.Endpoint, method, path, body string) {
+func send(t *testing.T, e kctport.Endpoint, method, path, body string) {
 	t.Helper()
 	r, err := http.NewRequestWithContext(context.Background(), method, "http://"+e.Address.String()+path, strings.NewReader(body))
 	if err != nil {
@@ -87,7 +87,7 @@
 // TestCommands guards against an HTTP switch that has no effect or undoes another.
 func TestCommands(t *testing.T) {
 	p, f, c := fleet(t)
-	e, fake := p.Instances().Endpoints[0], f.Endpoints[0]
+	e, fake := p.Endpoints()[0], f.Endpoints[0]
 	send(t, e, http.MethodPut, kctwire.PathFaults, `{"late":"1ms","bad":{"failures":1}}`)
 	send(t, e, http.MethodPut, kctwire.PathFaults, `{"bad":{"failures":0}}`)
 	if got := fake.Faults(); got != (kctwire.EndpointFaults{Late: kctwire.Duration(time.Millisecond)}) {
@@ -109,7 +109,7 @@
 	f.Leave(f.Endpoints[0], true)
 	f.Leave(f.Endpoints[1], false)
 	f.Remove(f.Endpoints[2])
-	list := p.Instances().Endpoints
+	list := p.Endpoints()
 	if len(list) != 3 || !list[0].Leaving || !list[1].Leaving || list[2].Leaving {
 		t.Fatalf("list %+v", list)
 	}
@@ -151,7 +151,7 @@
 // TestCrash guards against an endpoint that survives a crashing body, stays down, or restarts warm or with its old boot identifier.
 func TestCrash(t *testing.T) {
 	p, f, c := fleet(t)
-	e, fake := p.Instances().Endpoints[0], f.Endpoints[0]
+	e, fake := p.Endpoints()[0], f.Endpoints[0]
 	for range 3 {
 		if err := call(c, e, 0, "", "x"); err != nil {
 			t.Fatal(err)
@@ -178,7 +178,7 @@
 // TestBadVersion guards against a fault that shows outside of its conditions.
 func TestBadVersion(t *testing.T) {
 	p, f, c := fleet(t)
-	e, fake := p.Instances().Endpoints[0], f.Endpoints[0]
+	e, fake := p.Endpoints()[0], f.Endpoints[0]
 	for name, row := range map[string]struct {
 		bad  kctwire.Bad
 		show bool
@@ -199,7 +199,7 @@
 // TestMisleadingStatus guards against switches that do not mislead.
 func TestMisleadingStatus(t *testing.T) {
 	p, f, c := fleet(t)
-	e, fake := kctport.Endpoint(p.Instances().Endpoints[0]), f.Endpoints[0]
+	e, fake := p.Endpoints()[0], f.Endpoints[0]
 	first, err := c.Status(context.Background(), e)
 	if err != nil {
 		t.Fatal(err)
@@ -224,3 +224,21 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// TestLag guards against a list that shows a change before the lag has passed, or never.
+func TestLag(t *testing.T) {
+	p := kctfake.NewPlatform()
+	p.Register("e", kctwire.Registration{Service: "s", Zone: "a", Version: "v1"})
+	if n := len(p.Endpoints()); n != 1 {
+		t.Fatalf("%d endpoints", n)
+	}
+	p.SetFaults(kctwire.PlatformFaults{Lag: kctwire.Duration(time.Hour)})
+	p.Remove("e")
+	if n := len(p.Endpoints()); n != 1 {
+		t.Fatal("removed before the lag")
+	}
+	p.SetFaults(kctwire.PlatformFaults{})
+	if n := len(p.Endpoints()); n != 0 {
+		t.Fatal("not removed after the lag")
+	}
+}
--- a/io/kctfake/platform.go
+++ b/io/kctfake/platform.go
@@ -2,33 +2,38 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"maps"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctwire"
+	kctadapter "kingcupturn/platform"
 )
 
-// Platform is a stand-in of the platform: store, leases and the lagging list of instances.
+// Platform is the stand-in of the platform's store with the endpoints that registered themselves there.
 type Platform struct {
 	address netip.AddrPort
 	seed    uint64
 	server  *server
+	store   *kctadapter.StandIn
 
-	mu      sync.Mutex
-	random  *rand.Rand
-	faults  kctwire.PlatformFaults
-	calls   kctwire.Calls
-	records map[string]record
-	// version counts the writes of all keys, so that a key that is created again never gets an old version.
-	version uint64
-	// changed is closed and replaced at each write, to wake the watches.
-	changed chan struct{}
-	leases  map[kctport.Lease]lease
-	granted uint64
-	list    listing
+	mu     sync.Mutex
+	faults kctwire.PlatformFaults
+	// pending are registrations that the store doesn't show yet, the oldest first; listed are those that it shows.
+	pending []registration
+	listed  map[kctport.InstanceID]kctwire.Registration
+}
+
+// registration is one change of the list of endpoints.
+type registration struct {
+	at      time.Time
+	id      kctport.InstanceID
+	entry   kctwire.Registration
+	removed bool
 }
 
 // PlatformOption sets up a Platform.
@@ -51,17 +56,12 @@
 
 // NewPlatform returns a platform that is not yet listening.
 func NewPlatform(opts ...PlatformOption) *Platform {
-	p := &Platform{
-		address: loopback,
-		records: map[string]record{},
-		changed: make(chan struct{}),
-		leases:  map[kctport.Lease]lease{},
-		list:    listing{seen: map[kctport.InstanceID]kctwire.Registration{}},
-	}
+	p := &Platform{address: loopback, listed: map[kctport.InstanceID]kctwire.Registration{}}
 	for _, o := range opts {
 		o(p)
 	}
-	p.random = rand.New(rand.NewPCG(p.seed, p.seed))
+	p.store = kctadapter.NewStandIn(p.seed)
+	p.SetFaults(p.faults)
 	return p
 }
 
@@ -88,7 +88,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.faults = f
-	p.wake()
+	p.show()
+	faults := kctadapter.StandInFaults{Lose: f.Lose, Delay: time.Duration(f.Delay)}
+	if f.Outage {
+		faults.Status = outageStatus
+	}
+	p.store.SetFaults(faults)
 }
 
 // Faults returns the switches.
@@ -100,28 +105,60 @@
 
 // Calls returns the numbers of calls since the start.
 func (p *Platform) Calls() kctwire.Calls {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.calls
+	return kctwire.Calls(p.store.Calls())
 }
 
-// Register puts an instance on the list, which shows it after the lag.
+// Register writes the record of an endpoint, which the store shows after the lag.
 func (p *Platform) Register(id kctport.InstanceID, r kctwire.Registration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.list.add(event{at: time.Now(), id: id, entry: r})
+	p.change(registration{at: time.Now(), id: id, entry: r})
 }
 
-// Remove takes an instance from the list, which shows it until the lag has passed.
+// Remove deletes the record of an endpoint, which the store shows until the lag has passed.
 func (p *Platform) Remove(id kctport.InstanceID) {
+	p.change(registration{at: time.Now(), id: id, removed: true})
+}
+
+func (p *Platform) change(r registration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.list.add(event{at: time.Now(), id: id, removed: true})
+	p.pending = append(p.pending, r)
+	p.show()
+	if lag := time.Duration(p.faults.Lag); lag > 0 {
+		time.AfterFunc(lag, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.show()
+		})
+	}
 }
 
-// Instances returns the list as it was a lag ago.
-func (p *Platform) Instances() kctwire.Instances {
+// show writes the registrations that are older than the lag to the store; the caller holds the lock.
+func (p *Platform) show() {
+	until := time.Now().Add(-time.Duration(p.faults.Lag))
+	for len(p.pending) > 0 && !p.pending[0].at.After(until) {
+		r := p.pending[0]
+		p.pending = p.pending[1:]
+		if r.removed {
+			delete(p.listed, r.id)
+			p.store.RemoveServer(r.id)
+			continue
+		}
+		p.listed[r.id] = r.entry
+		p.store.PutServer(kctport.Server{
+			ID: r.id, Service: r.entry.Service, Zone: r.entry.Zone, Version: r.entry.Version, Address: r.entry.Address, Leaving: r.entry.Leaving,
+		})
+	}
+}
+
+// Endpoints returns the endpoints that the store shows, ordered by identifier.
+func (p *Platform) Endpoints() []kctport.Endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.list.show(time.Now().Add(-time.Duration(p.faults.Lag)))
+	p.show()
+	list := make([]kctport.Endpoint, 0, len(p.listed))
+	for _, id := range slices.SortedFunc(maps.Keys(p.listed), func(a, b kctport.InstanceID) int { return strings.Compare(string(a), string(b)) }) {
+		r := p.listed[id]
+		list = append(list, kctport.Endpoint{ID: id, Service: r.Service, Zone: r.Zone, Version: r.Version, Address: r.Address, Leaving: r.Leaving})
+	}
+	return list
 }
--- a/io/kctfake/relay_test.go
+++ b/io/kctfake/relay_test.go
@@ -8,7 +8,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctfake"
-	"kingcupturn/io/kctplatform"
+	kctadapter "kingcupturn/platform"
 )
 
 // TestRelay guards against a relay that loses bytes, lets them through when blocked, or does not recover.
@@ -24,8 +24,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := kctplatform.New(at, kctplatform.WithTimeout(patience))
-	hasty := kctplatform.New(at, kctplatform.WithTimeout(100*time.Millisecond))
+	c := kctadapter.NewRecords(at, kctadapter.WithTimeout(patience))
+	hasty := kctadapter.NewRecords(at, kctadapter.WithTimeout(100*time.Millisecond))
 	t.Cleanup(func() {
 		c.Close()
 		hasty.Close()
--- a/io/kctload/cluster.go
+++ b/io/kctload/cluster.go
@@ -131,7 +131,6 @@
 		return err
 	}
 	c.members = append(c.members, &member{Daemon: d, spec: spec})
-	c.platform.Register(spec.ID, kctwire.Registration{Role: kctwire.RoleEntry, Zone: spec.Zone, Peer: spec.Peer, Caller: spec.Caller})
 	return nil
 }
 
--- a/io/kctplatform/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package kctplatform is the client of the platform: its key-value store and
-// its list of instances.
-package kctplatform
--- a/io/kctslope/fleet.go
+++ b/io/kctslope/fleet.go
@@ -13,9 +13,9 @@
 	"kingcupturn/io/kctcodec"
 	"kingcupturn/io/kctentry"
 	"kingcupturn/io/kctfake"
-	"kingcupturn/io/kctplatform"
 	"kingcupturn/io/kctsetting"
 	"kingcupturn/io/kctwire"
+	kctadapter "kingcupturn/platform"
 )
 
 const (
@@ -70,7 +70,7 @@
 	}
 	for n, e := range from.list[:size.endpoints] {
 		f.platform.Register(e.ID, kctwire.Registration{
-			Role: kctwire.RoleEndpoint, Service: serviceName(n % size.services), Zone: zoneName(n % size.zones), Version: e.Version, Address: e.Address,
+			Service: serviceName(n % size.services), Zone: zoneName(n % size.zones), Version: e.Version, Address: e.Address,
 		})
 	}
 	for n := range size.members {
@@ -90,7 +90,7 @@
 	if err != nil {
 		return err
 	}
-	client := kctplatform.New(f.store)
+	client := kctadapter.NewRecords(f.store)
 	defer client.Close()
 	_, err = client.Write(ctx, "config", data, 0, "")
 	return err
@@ -111,7 +111,6 @@
 	d := &daemon{entry: kctentry.New(s), settings: s, done: make(chan error, 1)}
 	go func() { d.done <- d.entry.Run(ctx) }()
 	f.daemons = append(f.daemons, d)
-	f.platform.Register(s.ID, kctwire.Registration{Role: kctwire.RoleEntry, Zone: s.Zone, Peer: s.Peer, Caller: s.Caller})
 	return nil
 }
 
--- a/io/kctslope/model.go
+++ b/io/kctslope/model.go
@@ -38,6 +38,8 @@
 	steps    int
 	cancel   context.CancelFunc
 	done     <-chan error
+	// settled returns when nothing that a step began is left.
+	settled func()
 }
 
 func targetZone(n int) kctport.Zone {
@@ -61,9 +63,21 @@
 	}
 }
 
+// modelOption changes a model at construction.
+type modelOption func(*model)
+
+// withSettled waits with f after each step until all work that the step began has ended; otherwise replies to probes may come some steps
+// late on a busy machine, and members are then found dead.
+func withSettled(f func()) modelOption {
+	return func(m *model) { m.settled = f }
+}
+
 // newModel starts control and gives it a fleet of the size as it stands some seconds after the start.
-func newModel(ctx context.Context, members, endpoints int) (*model, error) {
-	m := &model{clock: newClock(), peers: &quietPeers{}, lists: &lists{next: make(chan bool)}, counter: 1}
+func newModel(ctx context.Context, members, endpoints int, opts ...modelOption) (*model, error) {
+	m := &model{clock: newClock(), peers: &quietPeers{}, lists: &lists{next: make(chan bool)}, counter: 1, settled: func() {}}
+	for _, o := range opts {
+		o(m)
+	}
 	for n := range members {
 		m.members = append(m.members, targetMember(n))
 	}
@@ -124,6 +138,7 @@
 	}
 	// Control answers after it has taken the tick.
 	_, err := m.control.Config(ctx)
+	m.settled()
 	return err
 }
 
--- a/io/kctslope/model_test.go
+++ b/io/kctslope/model_test.go
@@ -3,12 +3,17 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 )
 
 // Guards against a model in which control idles because its inputs do not reach it.
 func TestModelLives(t *testing.T) {
+	synctest.Test(t, checkModelLives)
+}
+
+func checkModelLives(t *testing.T) {
 	const members = 18
-	c, err := newModel(t.Context(), members, endpointsFor(members))
+	c, err := newModel(t.Context(), members, endpointsFor(members), withSettled(synctest.Wait))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kctslope/quiet.go
+++ b/io/kctslope/quiet.go
@@ -68,6 +68,12 @@
 	return kctport.Record{}, ctx.Err()
 }
 
+// Grant implements kctport.Store; the model's entry stays unannounced, since its clock would renew a lease without a pause.
+func (*quietStore) Grant(ctx context.Context, _ time.Duration) (kctport.Lease, error) {
+	<-ctx.Done()
+	return "", ctx.Err()
+}
+
 // quietBackend reports every endpoint as warm with one snapshot.
 type quietBackend struct{ kctport.Backend }
 
@@ -91,6 +97,11 @@
 	next chan bool
 }
 
+// Announce implements kctport.Directory.
+func (*lists) Announce(context.Context, kctport.Member, kctport.Lease) error {
+	return nil
+}
+
 // Instances implements kctport.Directory.
 func (l *lists) Instances(ctx context.Context) ([]kctport.Endpoint, []kctport.Member, error) {
 	select {
--- a/io/kctslope/record.go
+++ b/io/kctslope/record.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net/netip"
-
-	"github.com/rotisserie/eris"
+	"time"
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctcodec"
 	"kingcupturn/io/kctfake"
-	"kingcupturn/io/kctplatform"
 	"kingcupturn/io/kctwire"
+	kctadapter "kingcupturn/platform"
 )
 
 // records measures the size of the platform's values and what reading them costs.
@@ -52,48 +49,50 @@
 		return err
 	}
 	defer p.Stop()
-	fillList(p, members)
-	data, err := json.Marshal(p.Instances())
-	if err != nil {
-		return eris.Wrap(err, "encode list")
+	client := kctadapter.NewRecords(at)
+	defer client.Close()
+	if err := fillList(ctx, p, client, members); err != nil {
+		return err
 	}
 	const rounds = 5
-	used, err := during(m.timer, func() error { return decodeList(data, rounds) })
+	before, good := p.Calls(), 0
+	used, err := during(m.timer, func() error {
+		for range rounds {
+			good += m.read(ctx, client)
+		}
+		return nil
+	})
 	if err != nil {
 		return err
 	}
-	x := float64(members)
-	t.add("members", x, "instance list (KB)", float64(len(data))/1000)
-	t.add("members", x, "decoding of the instance list (ms)", 1000*used.processor.Seconds()/rounds)
-	t.add("members", x, "readings of the instance list that succeed (of 1)", m.read(ctx, at))
+	x, after := float64(members), p.Calls()
+	t.add("members", x, "instance list (KB)", float64(after.Bytes-before.Bytes)/1000/rounds)
+	t.add("members", x, "calls for the instance list", float64(after.Reads-before.Reads)/rounds)
+	t.add("members", x, "reading of the instance list, with the stand-in (ms)", 1000*used.processor.Seconds()/rounds)
+	t.add("members", x, "readings of the instance list that succeed (of 1)", float64(good)/rounds)
 	return nil
 }
 
-func fillList(p *kctfake.Platform, members int) {
+// fillList registers endpoints and announces entries.
+func fillList(ctx context.Context, p *kctfake.Platform, client kctadapter.Records, members int) error {
+	lease, err := client.Grant(ctx, time.Hour)
+	if err != nil {
+		return err
+	}
 	for n := range members {
-		e := targetMember(n)
-		p.Register(e.ID, kctwire.Registration{Role: kctwire.RoleEntry, Zone: e.Zone, Peer: e.Peer, Caller: e.Caller})
+		if err := client.Announce(ctx, targetMember(n), lease); err != nil {
+			return err
+		}
 	}
 	for n := range endpointsFor(members) {
 		e := targetEndpoint(n)
-		p.Register(e.ID, kctwire.Registration{Role: kctwire.RoleEndpoint, Service: e.Service, Zone: e.Zone, Version: e.Version, Address: e.Address})
-	}
-}
-
-func decodeList(data []byte, rounds int) error {
-	for range rounds {
-		var list kctwire.Instances
-		if err := json.Unmarshal(data, &list); err != nil {
-			return eris.Wrap(err, "decode list")
-		}
+		p.Register(e.ID, kctwire.Registration{Service: e.Service, Zone: e.Zone, Version: e.Version, Address: e.Address})
 	}
 	return nil
 }
 
-// read returns 1 when the platform's client can read the list.
-func (m *measurement) read(ctx context.Context, at netip.AddrPort) float64 {
-	client := kctplatform.New(at)
-	defer client.Close()
+// read returns 1 when the client can read the list.
+func (m *measurement) read(ctx context.Context, client kctadapter.Records) int {
 	if _, _, err := client.Instances(ctx); err != nil {
 		m.log("reading of the instance list: %v", err)
 		return 0
--- a/io/kctslope/servers.go
+++ b/io/kctslope/servers.go
@@ -12,8 +12,8 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctfake"
-	"kingcupturn/io/kctplatform"
 	"kingcupturn/io/kctwire"
+	kctadapter "kingcupturn/platform"
 )
 
 // Properties of the stand-ins: they answer fast, so that they use little of the machine.
@@ -68,7 +68,7 @@
 
 // findServers takes the stand-ins that another process registered with its platform.
 func findServers(ctx context.Context, platform netip.AddrPort, count int) (servers, error) {
-	client := kctplatform.New(platform)
+	client := kctadapter.NewRecords(platform)
 	defer client.Close()
 	list, _, err := client.Instances(ctx)
 	if err != nil {
--- a/io/kctwire/platform.go
+++ b/io/kctwire/platform.go
@@ -6,83 +6,18 @@
 	kctport "kingcupturn"
 )
 
-// Paths of the platform interface; keys and identifiers follow the ones that end in a slash.
+// Paths of the switches of the platform's stand-in; an identifier follows the one for instances.
 const (
-	PathKV        = "/v1/kv/"
-	PathLeases    = "/v1/leases"
 	PathInstances = "/v1/instances"
 	PathCalls     = "/v1/calls"
 )
 
-// Record is one value of the store.
-type Record struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value"`
-	Version uint64 `json:"version"`
-}
-
-// Put is a compare-and-swap; Expected 0 creates.
-type Put struct {
-	Value    []byte        `json:"value"`
-	Expected uint64        `json:"expected"`
-	Lease    kctport.Lease `json:"lease,omitempty"`
-}
-
-// Version is the reply to a Put: the new version, or the stored one on a conflict.
-type Version struct {
-	Version uint64 `json:"version"`
-}
-
-// Grant asks for a lease.
-type Grant struct {
-	TTL Duration `json:"ttl"`
-}
-
-// Lease names a granted lease.
-type Lease struct {
-	ID kctport.Lease `json:"id"`
-}
-
-// Endpoint is an endpoint in the list of instances.
-type Endpoint struct {
-	ID      kctport.InstanceID  `json:"id"`
-	Service kctport.ServiceName `json:"service"`
-	Zone    kctport.Zone        `json:"zone"`
-	Version kctport.VersionName `json:"version"`
-	Address netip.AddrPort      `json:"address"`
-	Leaving bool                `json:"leaving"`
-}
-
-// Entry is an entry daemon in the list of instances.
-type Entry struct {
-	ID      kctport.InstanceID `json:"id"`
-	Zone    kctport.Zone       `json:"zone"`
-	Peer    netip.AddrPort     `json:"peer"`
-	Caller  netip.AddrPort     `json:"caller"`
-	Leaving bool               `json:"leaving"`
-}
-
-// Instances is the list of live and leaving instances.
-type Instances struct {
-	Endpoints []Endpoint `json:"endpoints"`
-	Entries   []Entry    `json:"entries"`
-}
-
-// Roles of a registration.
-const (
-	RoleEndpoint = "endpoint"
-	RoleEntry    = "entry"
-)
-
-// Registration puts an instance on the list; the fields of its role are set.
+// Registration registers an endpoint as the endpoint itself does.
 type Registration struct {
-	Role    string              `json:"role"`
-	Service kctport.ServiceName `json:"service,omitempty"`
+	Service kctport.ServiceName `json:"service"`
 	Zone    kctport.Zone        `json:"zone"`
 	Version kctport.VersionName `json:"version,omitempty"`
 	Address netip.AddrPort      `json:"address,omitzero"`
-	Peer    netip.AddrPort      `json:"peer,omitzero"`
-	Caller  netip.AddrPort      `json:"caller,omitzero"`
 	Leaving bool                `json:"leaving"`
 }
 
@@ -94,13 +29,14 @@
 	Delay Duration `json:"delay"`
 	// Lose is the probability that a write takes effect and its reply is lost.
 	Lose float64 `json:"lose"`
-	// Lag is the age of the list of instances.
+	// Lag is the age of the records of endpoints.
 	Lag Duration `json:"lag"`
 }
 
-// Calls counts the calls of the platform; a waiting watch counts as one.
+// Calls counts the calls of the platform; a waiting watch counts as one read. Bytes is the size of the replies.
 type Calls struct {
 	Reads   uint64 `json:"reads"`
 	Writes  uint64 `json:"writes"`
 	Watches uint64 `json:"watches"`
+	Bytes   uint64 `json:"bytes"`
 }
--- a/port.go
+++ b/port.go
@@ -42,6 +42,8 @@
 // Directory is the platform's lagging list of live and leaving instances.
 type Directory interface {
 	Instances(ctx context.Context) ([]Endpoint, []Member, error)
+	// Announce lists an entry while the lease lasts.
+	Announce(ctx context.Context, member Member, lease Lease) error
 }
 
 // Backend is the port to endpoints.
