Bound the age of what a feed delivers; give a slow subscriber the newest records only

Cause: an update's age was computed when it was made. Up to 64 updates could wait for a subscriber, and more in sockets and windows, so that one behind a full link took old rules for current ones and answered 404 instead of 503.

Ruled out: reads at the start (no entry had started).

Change: updates that wait are combined; the next one is sent after the last was acknowledged; the subscriber adds the time since its last acknowledgement to the age.

--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -319,3 +319,38 @@
 		}
 	})
 }
+
+// TestSlowSubscriber guards against a subscriber that is behind and gets every version of the rules one after the other: in a storm of changes
+// over a slow link it served old rules for longer than they may be in force.
+func TestSlowSubscriber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1}
+		ctx, cancel := context.WithCancel(t.Context())
+		c := New(entryRecord("a", "z", 1), store, &feeds{}, kcttimer.New(), silent{}, WithSeed(1))
+		done := c.Run(ctx)
+		time.Sleep(time.Second)
+		u := c.Subscribe(ctx, entryRecord("b", "z", 2))
+		for range 100 {
+			store.mu.Lock()
+			store.rules++
+			store.mu.Unlock()
+			time.Sleep(250 * time.Millisecond)
+		}
+		f := <-u.Updates()
+		if !f.Full || f.Changes[len(f.Changes)-1].Rules.Version != version(c) {
+			t.Errorf("the first update of a subscriber that is behind is full: %t, and has version %d, want %d", f.Full, f.Changes[len(f.Changes)-1].Rules.Version, version(c))
+		}
+		n := 0
+		for _, change := range f.Changes {
+			if change.Kind == kctport.RecordRules {
+				n++
+			}
+		}
+		if n != 1 {
+			t.Errorf("%d versions of the rules in one update", n)
+		}
+		u.End(ctx)
+		cancel()
+		<-done
+	})
+}
--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -7,16 +7,13 @@
 	kctport "kingcupturn"
 )
 
-const (
-	// feedInterval is how often subscribers hear from this entry when nothing changes.
-	feedInterval = 400 * time.Millisecond
-	// feedBacklog is the number of updates that may wait for a slow subscriber; at one batch of changes in 150 ms that is 10 s.
-	feedBacklog = 64
-)
+// feedInterval is how often subscribers hear from this entry when nothing changes.
+const feedInterval = 400 * time.Millisecond
 
 // subscription is one subscriber; the control goroutine alone sends and closes.
 type subscription struct {
 	control *Controller
+	// updates holds the one update that waits for the subscriber.
 	updates chan kctport.FeedUpdate
 	entry   kctport.EntryRecord
 	ended   bool
@@ -28,10 +25,10 @@
 
 // Subscribe registers an entry; it gets the full picture as soon as this entry has one.
 func (c *Controller) Subscribe(ctx context.Context, entry kctport.EntryRecord) kctport.FeedSubscription {
-	u := &subscription{control: c, updates: make(chan kctport.FeedUpdate, feedBacklog), entry: entry}
+	u := &subscription{control: c, updates: make(chan kctport.FeedUpdate, 1), entry: entry}
 	registered := c.update(ctx, func(s *state, now time.Time) []event {
 		c.subscribers[u] = true
-		u.updates <- u.first(s, now)
+		u.offer(u.first(s, now))
 		s.members.set(kctport.FeedMember{Origin: s.self.ID, Entry: entry})
 		return []event{{what: "entry subscribed", key: string(entry.ID)}}
 	})
@@ -41,7 +38,7 @@
 	return u
 }
 
-// Updates is closed when the subscriber was too slow.
+// Updates is closed when the subscription ends.
 func (u *subscription) Updates() <-chan kctport.FeedUpdate {
 	return u.updates
 }
@@ -141,12 +138,47 @@
 		if !u.told {
 			g = u.first(s, now)
 		}
-		select {
-		case u.updates <- g:
-		default:
-			for _, e := range c.end(s, u) {
-				c.log.Believe("subscriber too slow", e.key, "", 0)
-			}
+		u.offer(g)
+	}
+}
+
+// offer leaves an update for the subscriber, together with the one that still waits: a slow subscriber gets the newest records late,
+// not all of their versions later still. The control goroutine alone calls it, so that there is always room.
+func (u *subscription) offer(f kctport.FeedUpdate) {
+	select {
+	case waiting := <-u.updates:
+		f = combine(waiting, f)
+	default:
+	}
+	u.updates <- f
+}
+
+// combine makes one update of two that follow each other.
+func combine(old, next kctport.FeedUpdate) kctport.FeedUpdate {
+	if next.Full {
+		return next
+	}
+	changed := make(map[string]bool, len(next.Changes))
+	for _, c := range next.Changes {
+		changed[c.Key] = true
+	}
+	type member struct{ origin, entry kctport.InstanceID }
+	known := make(map[member]bool, len(next.Members))
+	for _, m := range next.Members {
+		known[member{m.Origin, m.Entry.ID}] = true
+	}
+	f := kctport.FeedUpdate{Full: old.Full, Away: next.Away, Age: next.Age}
+	for _, c := range old.Changes {
+		if !changed[c.Key] {
+			f.Changes = append(f.Changes, c)
 		}
 	}
+	for _, m := range old.Members {
+		if !known[member{m.Origin, m.Entry.ID}] {
+			f.Members = append(f.Members, m)
+		}
+	}
+	f.Changes = append(f.Changes, next.Changes...)
+	f.Members = append(f.Members, next.Members...)
+	return f
 }
--- a/feed.go
+++ b/feed.go
@@ -33,7 +33,7 @@
 	Full    bool
 	Changes []RegistryChange
 	Members []FeedMember
-	// Away is set while the reader can't reach the store; Age is the time since it last did.
+	// Away is set while the reader can't reach the store; Age is the time since it last did, an upper bound at the subscriber.
 	Away bool
 	Age  time.Duration
 }
@@ -52,7 +52,7 @@
 
 // FeedSubscription is one subscriber's end of a feed.
 type FeedSubscription interface {
-	// Updates is closed when the subscriber was too slow and must subscribe again.
+	// Updates gives what has changed since the last one that was taken; it is closed when the subscription ends.
 	Updates() <-chan FeedUpdate
 	// Beat takes the subscriber's current record.
 	Beat(ctx context.Context, entry EntryRecord)
--- a/io/kctfeed/client.go
+++ b/io/kctfeed/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
@@ -47,13 +48,14 @@
 		return eris.Wrapf(kctport.ErrUnavailable, "stream to %s: %v", reader.ID, err)
 	}
 	s := newStream(opened)
+	sent := c.timer.Now()
 	beats, stop := context.WithCancel(ctx)
 	beating := make(chan struct{})
 	go func() {
 		defer close(beating)
 		c.beat(beats, s, self)
 	}()
-	err = c.receive(s, take)
+	err = c.receive(s, sent, take)
 	stop()
 	session.Close()
 	<-beating
@@ -76,7 +78,9 @@
 	}
 }
 
-func (c *Client) receive(s *stream, take func(kctport.FeedUpdate)) error {
+// receive hands over updates and acknowledges each. The other side sends the next one only then, so that an update was made after the
+// last acknowledgement, which bounds its age however long it was on its way.
+func (c *Client) receive(s *stream, acknowledged time.Time, take func(kctport.FeedUpdate)) error {
 	for {
 		var m kctproto.FeedUpdate
 		if err := s.receive(&m); err != nil {
@@ -86,6 +90,14 @@
 		if err != nil {
 			return err
 		}
+		f.Age += c.timer.Now().Sub(acknowledged)
 		take(f)
+		acknowledged = c.timer.Now()
+		if err := s.send(acknowledgement); err != nil {
+			return err
+		}
 	}
 }
+
+// acknowledgement is a message without a record.
+var acknowledgement = &kctproto.FeedHello{}
--- a/io/kctfeed/server.go
+++ b/io/kctfeed/server.go
@@ -81,41 +81,61 @@
 
 // feed reads the subscriber's beats while another goroutine writes updates.
 func (s *Server) feed(ctx context.Context, st *stream, session *yamux.Session) error {
-	entry, err := receiveHello(st)
+	var hello kctproto.FeedHello
+	if err := st.receive(&hello); err != nil {
+		return err
+	}
+	entry, err := decodeEntry(hello.GetSelf())
 	if err != nil {
 		return err
 	}
 	subscription := s.source.Subscribe(ctx, entry)
+	acknowledged := make(chan struct{}, 1)
 	writing := make(chan struct{})
 	go func() {
 		defer close(writing)
 		defer session.Close()
-		s.write(st, subscription.Updates())
+		s.write(st, subscription.Updates(), acknowledged)
 	}()
-	for err == nil {
-		if entry, err = receiveHello(st); err == nil {
-			subscription.Beat(ctx, entry)
-		}
-	}
+	err = s.read(ctx, st, subscription, acknowledged)
 	session.Close()
+	close(acknowledged)
 	subscription.End(context.WithoutCancel(ctx))
 	<-writing
 	return err
 }
 
-func receiveHello(st *stream) (kctport.EntryRecord, error) {
-	var m kctproto.FeedHello
-	if err := st.receive(&m); err != nil {
-		return kctport.EntryRecord{}, err
+// read takes beats and acknowledgements until the stream ends.
+func (s *Server) read(ctx context.Context, st *stream, subscription kctport.FeedSubscription, acknowledged chan<- struct{}) error {
+	for {
+		var m kctproto.FeedHello
+		if err := st.receive(&m); err != nil {
+			return err
+		}
+		if m.GetSelf() == nil {
+			select {
+			case acknowledged <- struct{}{}:
+			default:
+				return eris.Wrap(kctport.ErrMismatch, "acknowledgement without an update")
+			}
+			continue
+		}
+		entry, err := decodeEntry(m.GetSelf())
+		if err != nil {
+			return err
+		}
+		subscription.Beat(ctx, entry)
 	}
-	return decodeEntry(m.GetSelf())
 }
 
-// write passes updates on until the subscription or the stream ends; the reading side then ends too.
-func (s *Server) write(st *stream, updates <-chan kctport.FeedUpdate) {
+// write passes updates on, each after the last one was acknowledged, until the subscription or the stream ends; the reading side then ends too.
+func (s *Server) write(st *stream, updates <-chan kctport.FeedUpdate, acknowledged <-chan struct{}) {
 	for f := range updates {
 		if err := st.send(s.encoder.update(f)); err != nil {
 			return
 		}
+		if _, ok := <-acknowledged; !ok {
+			return
+		}
 	}
 }
