Move services to new versions on the users' platform

Before: an order was read, the new version got nothing, and no status was written, so that each order was a duty missed.

Attempts are handed to control over a bounded channel that drops.

Not done: counts are not shared between entries.

--- a/core/kctbalance/balance_test.go
+++ b/core/kctbalance/balance_test.go
@@ -187,3 +187,32 @@
 		t.Error("no work for the next life of the endpoint")
 	}
 }
+
+// TestMoveShare guards against a new version that gets more than its share, also through second attempts, and against a service without
+// endpoints once the old version has gone.
+func TestMoveShare(t *testing.T) {
+	const share, rounds = 0.05, 4000
+	b, f := New("", 1), fleet(0, 1, time.Time{}, "a", "b", "n")
+	f.Servers["s"][2].Version = "v2"
+	f.Moves = map[kctport.ServiceName]kctport.MoveShare{"s": {To: "v2", Share: share}}
+	fresh := 0
+	for range rounds {
+		a := b.Start(start, f, Choice{Service: "s"})
+		if a.Server.ID == "n" {
+			fresh++
+		}
+		b.Finish(start, a, Outcome{Latency: 20 * time.Millisecond})
+		again := b.Start(start, f, Choice{Service: "s", Tried: []kctport.InstanceID{"a"}})
+		if again.Server.ID != "b" {
+			t.Fatal("a second attempt at the new version")
+		}
+		b.Finish(start, again, Outcome{Latency: 20 * time.Millisecond})
+	}
+	if got := float64(fresh) / rounds; got < 0.8*share || got > 1.2*share {
+		t.Errorf("a share of %.3f, want %.3f", got, share)
+	}
+	f.Servers["s"] = f.Servers["s"][2:]
+	if a := b.Start(start, f, Choice{Service: "s"}); a == nil {
+		t.Error("no endpoint though the new version is left")
+	}
+}
--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -89,7 +89,7 @@
 	spacing := b.cold.spacing(rule.ColdRate, fleet.Sharers)
 	var best, resting *kctport.FleetServer
 	var bestScore, soonest float64
-	for _, s := range fleet.Servers[choice.Service] {
+	for _, s := range b.candidates(fleet, choice) {
 		if slices.Contains(choice.Tried, s.ID) {
 			continue
 		}
@@ -123,6 +123,27 @@
 	return &Attempt{Server: best, Connections: connections(rule, fleet.Senders), route: choice.Route, number: b.number, start: now}
 }
 
+// candidates lists the endpoints of the version whose turn it is; a service that doesn't move has one version. Second attempts go to the old
+// version, so that the new one gets no more than its share. The caller holds the lock.
+func (b *Balancer) candidates(fleet *kctport.Fleet, choice Choice) []*kctport.FleetServer {
+	servers := fleet.Servers[choice.Service]
+	m, ok := fleet.Moves[choice.Service]
+	if !ok || m.Share == 0 || m.Share == 1 {
+		return servers
+	}
+	isNew := len(choice.Tried) == 0 && b.random.Float64() < m.Share
+	kept := make([]*kctport.FleetServer, 0, len(servers))
+	for _, s := range servers {
+		if (s.Version == m.To) == isNew {
+			kept = append(kept, s)
+		}
+	}
+	if len(kept) == 0 {
+		return servers
+	}
+	return kept
+}
+
 // connections is this entry's share of an endpoint's connections, at least one.
 func connections(rule kctport.ServiceRule, sharers int) int {
 	return max(1, int(float64(rule.Connections)*connectionShare/float64(max(1, sharers))))
--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -47,6 +48,10 @@
 	failures map[kctport.InstanceID]time.Time
 
 	published []func(*kctport.Fleet)
+	// observations are attempts at endpoints of moving services.
+	observations chan kctport.Observation
+	// saves are the writes of moves that are under way.
+	saves sync.WaitGroup
 	// The control goroutine alone uses what follows.
 	subscribers map[*subscription]bool
 	nextBeat    time.Time
@@ -86,7 +91,7 @@
 	c := &Controller{
 		self: self, registry: registry, feed: feed, timer: timer, log: log, inbox: make(chan update), stopped: make(chan struct{}),
 		load: func() float64 { return 0 }, random: rand.New(rand.NewPCG(1, 1)), subscribers: map[*subscription]bool{},
-		failures: map[kctport.InstanceID]time.Time{}, watchWait: longestWatch,
+		failures: map[kctport.InstanceID]time.Time{}, watchWait: longestWatch, observations: make(chan kctport.Observation, observationBuffer),
 	}
 	c.fleet.Store(&kctport.Fleet{Sharers: 1, Senders: 1})
 	c.readers.Store(&[]kctport.EntryRecord{})
@@ -124,6 +129,7 @@
 		defer close(done)
 		<-source
 		<-c.stopped
+		c.saves.Wait()
 	}()
 	return done
 }
@@ -142,10 +148,11 @@
 			events = u(s, c.timer.Now())
 		case <-ticks:
 			events = s.refresh(c.Self())
+			c.workOnMoves(ctx, s, c.timer.Now())
 		}
 		now := c.timer.Now()
 		events = append(events, s.expire(now)...)
-		c.publish(s, now, len(events) > 0)
+		c.publish(s, now, len(events) > 0 || c.cutsMove(s, now))
 		c.broadcast(s, now)
 		for _, e := range events {
 			if e.what != "" {
--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -22,6 +22,10 @@
 	rules   kctport.RulesVersion
 	down    bool
 	loads   int
+	// extra are further records, saved is the progress of a move.
+	extra    []kctport.RegistryChange
+	saved    kctport.RegistryChange
+	revision kctport.StoreRevision
 }
 
 func (r *registry) check() error {
@@ -39,6 +43,10 @@
 	for zone, e := range r.readers {
 		l.Changes = append(l.Changes, kctport.RegistryChange{Kind: kctport.RecordReader, Key: "readers/" + string(zone), Revision: r.claims, Reader: &e})
 	}
+	l.Changes = append(l.Changes, r.extra...)
+	if r.saved.Progress != nil {
+		l.Changes = append(l.Changes, r.saved)
+	}
 	return l, r.check()
 }
 
@@ -82,6 +90,20 @@
 	return nil
 }
 
+func (r *registry) SaveMove(_ context.Context, p kctport.MoveProgress, expected kctport.StoreRevision) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.check(); err != nil {
+		return err
+	}
+	if r.saved.Revision != expected {
+		return kctport.ErrConflict
+	}
+	r.revision++
+	r.saved = kctport.RegistryChange{Kind: kctport.RecordProgress, Key: "progress", Revision: r.revision, Progress: &p}
+	return nil
+}
+
 // feeds connects controllers by the port of their peer address.
 type feeds struct {
 	sources map[uint16]*Controller
--- /dev/null
+++ b/core/kctfleet/move_test.go
@@ -0,0 +1,158 @@
+package kctfleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	kctport "kingcupturn"
+	"kingcupturn/io/kcttimer"
+)
+
+// movingStore has a service with three endpoints of each version and an order to move it.
+func movingStore(duration time.Duration) *registry {
+	r := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1, revision: 100}
+	for i, id := range []string{"o1", "o2", "o3", "n1", "n2", "n3"} {
+		c := server(id, kctport.StoreRevision(i+1))
+		c.Server.Version = map[byte]kctport.VersionName{'o': "v1", 'n': "v2"}[id[0]]
+		r.extra = append(r.extra, c)
+	}
+	r.extra = append(r.extra, kctport.RegistryChange{
+		Kind: kctport.RecordMove, Key: "moves/s", Revision: 50, Move: &kctport.MoveOrder{Service: "s", To: "v2", Duration: duration},
+	})
+	return r
+}
+
+func (r *registry) progress() kctport.MoveProgress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.saved.Progress == nil {
+		return kctport.MoveProgress{}
+	}
+	return *r.saved.Progress
+}
+
+// drive sends requests to a moving service until the move is announced or the time is over, and counts those of the new version.
+func drive(t *testing.T, store *registry, entries []*Controller, length time.Duration, failing func(share float64) float64) (fresh, all int) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(1, 1))
+	for until := time.Now().Add(length); time.Now().Before(until) && !store.progress().Announced && store.progress().State != kctport.MoveReverted; {
+		time.Sleep(5 * time.Millisecond)
+		c := entries[random.IntN(len(entries))]
+		share := c.Fleet().Moves["s"].Share
+		o := kctport.Observation{Service: "s", Route: "r", At: time.Now(), Latency: 20 * time.Millisecond, Endpoint: "o1", Version: "v1"}
+		all++
+		if random.Float64() < share {
+			fresh++
+			o.Endpoint, o.Version = []kctport.InstanceID{"n1", "n2", "n3"}[random.IntN(3)], "v2"
+			if random.Float64() < failing(share) {
+				o.Err = kctport.ErrFailed
+			}
+		}
+		c.Observe(o)
+	}
+	return fresh, all
+}
+
+func moveFleet(t *testing.T, store *registry, zones ...kctport.Zone) []*Controller {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	mesh := &feeds{sources: map[uint16]*Controller{}}
+	var entries []*Controller
+	var done []<-chan struct{}
+	for i, zone := range zones {
+		port := uint16(i + 1)
+		c := New(entryRecord(string(rune('a'+i)), zone, port), store, mesh, kcttimer.New(), silent{}, WithSeed(uint64(i)))
+		mesh.sources[port] = c
+		entries = append(entries, c)
+	}
+	for _, c := range entries {
+		done = append(done, c.Run(ctx))
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, d := range done {
+			<-d
+		}
+	})
+	time.Sleep(2 * time.Second)
+	return entries
+}
+
+// TestGoodMove guards against a good version that is not in force everywhere by its deadline, or is announced before it is.
+func TestGoodMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := movingStore(2 * time.Minute)
+		entries := moveFleet(t, store, "a", "b", "b")
+		began := time.Now()
+		drive(t, store, entries, 3*time.Minute, func(float64) float64 { return 0 })
+		p := store.progress()
+		if p.State != kctport.MoveDone || !p.Announced || time.Since(began) > 2*time.Minute {
+			t.Fatalf("after %v: %+v", time.Since(began), p)
+		}
+		for _, c := range entries {
+			if list := c.Fleet().Servers["s"]; len(list) != 3 || list[0].Version != "v2" {
+				t.Errorf("entry %s still has %d endpoints, first of %s", c.self.ID, len(list), list[0].Version)
+			}
+		}
+	})
+}
+
+// TestBadMove guards against a bad version that gets more than a tenth of the requests or stays, at once or under load.
+func TestBadMove(t *testing.T) {
+	for name, failing := range map[string]func(float64) float64{
+		"at once": func(float64) float64 { return 0.4 },
+		"under load": func(share float64) float64 {
+			if share < 0.2 {
+				return 0
+			}
+			return 0.5
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := movingStore(2 * time.Minute)
+				entries := moveFleet(t, store, "a", "b", "b")
+				fresh, all := drive(t, store, entries, 2*time.Minute, failing)
+				time.Sleep(2 * time.Second)
+				if p := store.progress(); p.State != kctport.MoveReverted {
+					t.Fatalf("the move stands at %+v", p)
+				}
+				// The bound is a tenth of all requests until the deadline; the traffic ends here with the move.
+				if float64(fresh) > 0.1*float64(all)+50 {
+					t.Errorf("%d of %d requests went to the bad version", fresh, all)
+				}
+				for _, c := range entries {
+					for _, f := range c.Fleet().Servers["s"] {
+						if f.Version != "v1" {
+							t.Errorf("entry %s still sends to %s", c.self.ID, f.ID)
+						}
+					}
+				}
+			})
+		})
+	}
+}
+
+// TestMoveOutlivesHolder guards against a move that ends with the entry that works on it, and against one that begins anew.
+func TestMoveOutlivesHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := movingStore(2 * time.Minute)
+		entries := moveFleet(t, store, "a", "b", "b")
+		began := store.progress().Started
+		drive(t, store, entries, 30*time.Second, func(float64) float64 { return 0 })
+		// The holder leaves, and its record with it.
+		entries[0].Leave(t.Context())
+		time.Sleep(time.Second)
+		store.mu.Lock()
+		delete(store.readers, "a")
+		store.extra = append(store.extra, kctport.RegistryChange{Kind: kctport.RecordReader, Key: "readers/a", Revision: 1000, Deleted: true})
+		store.mu.Unlock()
+		drive(t, store, entries[1:], 3*time.Minute, func(float64) float64 { return 0 })
+		if p := store.progress(); p.State != kctport.MoveDone || !p.Announced || !p.Started.Equal(began) || p.Holder == "a" {
+			t.Fatalf("the move stands at %+v, began at %v", p, began)
+		}
+	})
+}
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -46,13 +46,14 @@
 	presumed      int
 	presumedUntil time.Time
 	active        activeSet
+	mover         *mover
 	draining      bool
 }
 
 func newState(self kctport.EntryRecord) *state {
 	return &state{
 		self: self, records: map[string]*record{}, sharers: map[kctport.InstanceID]time.Time{},
-		members: newMembers(self.ID), active: newActiveSet(),
+		members: newMembers(self.ID), active: newActiveSet(), mover: newMover(self.ID),
 	}
 }
 
@@ -184,17 +185,17 @@
 	if s.table != nil {
 		f.Table = s.table
 	}
-	out, unproved := s.zonesOut(), s.unproved()
+	out := s.zonesOut()
+	f.Moves = s.shares(now)
 	for _, r := range s.records {
 		if r.Server == nil || r.Server.Leaving || out[r.Server.Zone] {
 			continue
 		}
-		if version, ok := unproved[r.Server.Service]; !ok || version != r.Server.Version {
-			f.Servers[r.Server.Service] = append(f.Servers[r.Server.Service], r.server())
-		}
+		f.Servers[r.Server.Service] = append(f.Servers[r.Server.Service], r.server())
 	}
-	for _, servers := range f.Servers {
-		slices.SortFunc(servers, func(a, b *kctport.FleetServer) int { return cmp.Compare(a.ID, b.ID) })
+	for service, servers := range f.Servers {
+		slices.SortFunc(servers, func(a, b *kctport.FleetServer) int { return compareIDs(a.ID, b.ID) })
+		f.Servers[service] = movable(f.Moves, service, servers)
 	}
 	s.sharers[s.self.ID] = now
 	for _, e := range s.members.all(s.self) {
@@ -212,6 +213,27 @@
 	return f
 }
 
+// movable leaves out the endpoints of a version that gets nothing. Where only they are left they serve, since the move has been taken out of
+// the tier's hands.
+func movable(moves map[kctport.ServiceName]kctport.MoveShare, service kctport.ServiceName, servers []*kctport.FleetServer) []*kctport.FleetServer {
+	m, ok := moves[service]
+	if !ok {
+		return servers
+	}
+	kept := slices.DeleteFunc(slices.Clone(servers), func(f *kctport.FleetServer) bool {
+		isNew := f.Version == m.To
+		return isNew && m.Share == 0 || !isNew && m.Share == 1
+	})
+	if len(kept) == 0 {
+		return servers
+	}
+	return kept
+}
+
+func compareIDs(a, b kctport.InstanceID) int {
+	return cmp.Compare(a, b)
+}
+
 // senders counts the active entries and one that may just have been one; an entry without callers takes a smaller share.
 func (s *state) senders(f *kctport.Fleet, now time.Time) int {
 	if slices.ContainsFunc(f.Active, func(e kctport.EntryRecord) bool { return e.ID == s.self.ID }) {
@@ -234,27 +256,6 @@
 	return out
 }
 
-// unproved lists the versions that services are asked to move to while endpoints of another version are left. The tier can't judge a version
-// yet, so that one gets nothing: a move that isn't done costs less than a bad version that serves.
-func (s *state) unproved() map[kctport.ServiceName]kctport.VersionName {
-	wanted := map[kctport.ServiceName]kctport.VersionName{}
-	for _, r := range s.records {
-		if r.Move != nil {
-			wanted[r.Move.Service] = r.Move.To
-		}
-	}
-	unproved := map[kctport.ServiceName]kctport.VersionName{}
-	for _, r := range s.records {
-		if r.Server == nil || r.Server.Leaving {
-			continue
-		}
-		if to, ok := wanted[r.Server.Service]; ok && r.Server.Version != to {
-			unproved[r.Server.Service] = to
-		}
-	}
-	return unproved
-}
-
 // readers lists the entries that read the store for their zones.
 func (s *state) readers() []kctport.EntryRecord {
 	var readers []kctport.EntryRecord
--- a/core/kctforward/call.go
+++ b/core/kctforward/call.go
@@ -269,4 +269,19 @@
 		o.Failed = r.response.Status >= 500
 	}
 	c.engine.balancer.Finish(now, a, o)
+	c.observe(now, a, o, r)
+}
+
+// observe tells control of an attempt that may be evidence about a version; what the endpoint refused or the caller cut off is none.
+func (c *call) observe(now time.Time, a *kctbalance.Attempt, o kctbalance.Outcome, r *result) {
+	err := r.err
+	switch {
+	case r.err == nil && !r.response.NotRun && o.Failed:
+		err = kctport.ErrFailed
+	case r.response.NotRun:
+		err = kctport.ErrShed
+	}
+	c.engine.attempts.Observe(kctport.Observation{
+		Endpoint: a.Server.ID, Service: a.Server.Service, Version: a.Server.Version, Route: c.route.Name, Latency: o.Latency, Err: err, At: now,
+	})
 }
--- a/core/kctforward/engine.go
+++ b/core/kctforward/engine.go
@@ -40,6 +40,7 @@
 	delays    *kctbalance.Delays
 	splitter  *kctroutes.Splitter
 	observer  Observer
+	attempts  kctport.Observer
 }
 
 var _ kctport.Forwarder = (*Engine)(nil)
@@ -58,13 +59,29 @@
 }
 
 // NewEngine returns an engine.
-func NewEngine(fleets kctport.Fleets, timer kctport.Timer, exchanger kctport.Exchanger, p Policies, observer Observer) *Engine {
-	return &Engine{
-		fleets: fleets, timer: timer, exchanger: exchanger, observer: observer,
+func NewEngine(fleets kctport.Fleets, timer kctport.Timer, exchanger kctport.Exchanger, p Policies, observer Observer, opts ...Option) *Engine {
+	e := &Engine{
+		fleets: fleets, timer: timer, exchanger: exchanger, observer: observer, attempts: unobserved{},
 		balancer: p.Balancer, budget: p.Budget, delays: p.Delays, splitter: p.Splitter,
 	}
+	for _, o := range opts {
+		o(e)
+	}
+	return e
+}
+
+// Option changes an engine at construction.
+type Option func(*Engine)
+
+// WithAttempts hands the end of each attempt to an observer, as evidence about the endpoint's version.
+func WithAttempts(o kctport.Observer) Option {
+	return func(e *Engine) { e.attempts = o }
 }
 
+type unobserved struct{}
+
+func (unobserved) Observe(kctport.Observation) {}
+
 // Forward answers a request; a reply with status 503 or 429 means that no endpoint ran it or will.
 func (e *Engine) Forward(ctx context.Context, message *kctport.Message) kctport.Reply {
 	fleet := e.fleets.Fleet()
--- a/forward.go
+++ b/forward.go
@@ -115,6 +115,9 @@
 	Readers(ctx context.Context) ([]EntryRecord, error)
 	// Claim makes an entry the reader of its zone while the lease lasts; ErrConflict means that the zone has one.
 	Claim(ctx context.Context, entry EntryRecord, lease Lease) error
+	// SaveMove writes how far a move has come and tells the operator, who hears of a move's end only once it is announced; it fails
+	// with ErrConflict when the record's revision isn't the expected one, 0 for a new one.
+	SaveMove(ctx context.Context, progress MoveProgress, expected StoreRevision) error
 }
 
 // EntryDirectory tells callers where to connect.
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -97,7 +97,7 @@
 		kctfleet.WithZones(settings.Zones), kctfleet.WithApply(settings.Apply))
 	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
 	n.metrics.Follow(n.control, n.timer, n.policies.Balancer.Ejected, n.egress.Opened, n.dropped)
-	engine := kctforward.NewEngine(n.control, n.timer, n.egress, n.policies, observers{log, n.metrics})
+	engine := kctforward.NewEngine(n.control, n.timer, n.egress, n.policies, observers{log, n.metrics}, kctforward.WithAttempts(n.control))
 	n.ingress = kctingress.New(settings.Caller, engine, n.control, kctadapter.Dialect{}, n.timer)
 	return n
 }
--- a/server.go
+++ b/server.go
@@ -38,6 +38,8 @@
 	// RecordReader names the entry that reads the store for its zone.
 	RecordReader
 	RecordMove
+	// RecordProgress is how far the tier has come with a move.
+	RecordProgress
 )
 
 // RegistryChange is one record of the store as it stands after a change.
@@ -55,6 +57,8 @@
 	Zone   Zone
 	Reader *EntryRecord
 	Move   *MoveOrder
+	// Progress is set for records of the tier's own moves.
+	Progress *MoveProgress
 }
 
 // MoveOrder asks that the traffic of a service moves to a version within a duration.
@@ -64,6 +68,23 @@
 	Duration time.Duration
 }
 
+// MoveProgress is a move as the tier's entries share it.
+type MoveProgress struct {
+	Move
+	// Announced is set once the operator was told the end of the move.
+	Announced bool
+}
+
+// MoveShare is the part of a service's requests that goes to the version to which it moves.
+type MoveShare struct {
+	ID    string
+	From  VersionName
+	To    VersionName
+	Share float64
+	// Judged is set while attempts are evidence for or against the version.
+	Judged bool
+}
+
 // RegistryState is everything that the store holds for the tier, as of a revision from which watching can go on.
 type RegistryState struct {
 	Changes  []RegistryChange
@@ -90,6 +111,8 @@
 	Table RouteTable
 	// Servers holds the endpoints that may get work.
 	Servers map[ServiceName][]*FleetServer
+	// Moves has the services that are asked to move to another version.
+	Moves map[ServiceName]MoveShare
 	// Entries are the members of the tier that take callers, this entry among them unless it is draining.
 	Entries []EntryRecord
 	// Active are the entries that callers are sent to.
