Send parts of other zones through an entry there

Zones have no endpoint for a quarter of the shards, so that attempts must cross, each with all headers of the caller and the endpoint.

Change: the first attempt of a gathered part goes through an active entry of the endpoint's zone; headers cross once a request, answers come back as signature, body and load. Repeats and hedges go straight.

--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -120,7 +120,7 @@
 	}
 	b.number++
 	e.pending[b.number] = now
-	return &Attempt{Server: best, Connections: connections(rule, fleet.Senders), route: choice.Route, number: b.number, start: now}
+	return &Attempt{Server: best, Connections: Connections(fleet, choice.Service), route: choice.Route, number: b.number, start: now}
 }
 
 // candidates lists the endpoints of the version whose turn it is; a service that doesn't move has one version. Second attempts go to the old
@@ -144,6 +144,11 @@
 	return kept
 }
 
+// Connections is this entry's share of the connections of each endpoint of a service.
+func Connections(fleet *kctport.Fleet, service kctport.ServiceName) int {
+	return connections(fleet.Rules.Services[service], fleet.Senders)
+}
+
 // connections is this entry's share of an endpoint's connections, at least one.
 func connections(rule kctport.ServiceRule, sharers int) int {
 	return max(1, int(float64(rule.Connections)*connectionShare/float64(max(1, sharers))))
--- a/core/kctforward/call.go
+++ b/core/kctforward/call.go
@@ -226,6 +226,7 @@
 		p.wake = now.Add(repickPause)
 		return false
 	}
+	repeat := p.pending+p.ran+p.refusals > 0
 	p.tried = append(p.tried, a.Server.ID)
 	p.pending++
 	c.story.Sends++
@@ -233,17 +234,17 @@
 		p.wake = now.Add(e.delays.Delay(c.route.Name, time.Duration(hedgeShare*float64(c.route.Objective))))
 	}
 	c.users.Add(1)
-	go c.attempt(p, a)
+	go c.attempt(p, a, repeat)
 	return true
 }
 
 // attempt performs one exchange; it ends by the attempts' context at the latest and reports over results.
-func (c *call) attempt(p *part, a *kctbalance.Attempt) {
+func (c *call) attempt(p *part, a *kctbalance.Attempt, repeat bool) {
 	defer c.release()
 	r := result{part: p, attempt: a}
 	var sent time.Time
 	r.response, r.err = c.engine.exchanger.Exchange(c.attempts, &a.Server.Server, c.message, kctport.ExchangeOptions{
-		Deadline: c.deadline, Connections: a.Connections, Once: !c.route.Idempotent,
+		Deadline: c.deadline, Connections: a.Connections, Once: !c.route.Idempotent, Part: len(c.route.Gather) > 0, Repeat: repeat,
 		Sent: func() { sent = c.engine.timer.Now() },
 	})
 	c.learn(a, sent, &r)
--- /dev/null
+++ b/core/kctpath/path_test.go
@@ -0,0 +1,115 @@
+package kctpath
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	kctport "kingcupturn"
+	"kingcupturn/io/kcttimer"
+)
+
+type picture struct{ fleet *kctport.Fleet }
+
+func (p picture) Fleet() *kctport.Fleet { return p.fleet }
+
+// ways counts the attempts of each way; failure is how relayed ones end.
+type ways struct {
+	direct  int
+	via     map[kctport.InstanceID]int
+	failure error
+}
+
+func (w *ways) Exchange(context.Context, *kctport.Server, *kctport.Message, kctport.ExchangeOptions) (kctport.Response, error) {
+	w.direct++
+	return kctport.Response{Status: 200}, nil
+}
+
+type relayed struct{ *ways }
+
+func (w relayed) Exchange(_ context.Context, via kctport.EntryRecord, _ *kctport.Server, _ *kctport.Message, _ kctport.ExchangeOptions) (kctport.Response, error) {
+	w.via[via.ID]++
+	return kctport.Response{Status: 200}, w.failure
+}
+
+func entry(id kctport.InstanceID, zone kctport.Zone) kctport.EntryRecord {
+	return kctport.EntryRecord{ID: id, Zone: zone, Relay: netip.MustParseAddrPort("10.0.0.1:1")}
+}
+
+// TestWays guards against attempts that take a way on which they cost more, wait for an entry that failed, or are sent twice after they may have run.
+func TestWays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &ways{via: map[kctport.InstanceID]int{}}
+		fleet := &kctport.Fleet{Active: []kctport.EntryRecord{entry("self", "a"), entry("b1", "b"), entry("b2", "b"), {ID: "c1", Zone: "c"}}}
+		p := New(entry("self", "a"), picture{fleet}, w, relayed{w}, kcttimer.New())
+		send := func(zone kctport.Zone, o kctport.ExchangeOptions) error {
+			_, err := p.Exchange(t.Context(), &kctport.Server{Zone: zone}, &kctport.Message{}, o)
+			return err
+		}
+		part := kctport.ExchangeOptions{Part: true}
+		for _, c := range []struct {
+			name    string
+			zone    kctport.Zone
+			options kctport.ExchangeOptions
+			failure error
+			direct  int
+			relays  int
+			want    error
+		}{
+			{"own zone", "a", part, nil, 1, 0, nil},
+			{"request that isn't merged", "b", kctport.ExchangeOptions{}, nil, 1, 0, nil},
+			{"repeat", "b", kctport.ExchangeOptions{Part: true, Repeat: true}, nil, 1, 0, nil},
+			{"zone without a relay", "c", part, nil, 1, 0, nil},
+			{"other zone", "b", part, nil, 0, 1, nil},
+			{"endpoint failed", "b", part, kctport.ErrReset, 0, 1, kctport.ErrReset},
+			{"not sent", "b", part, errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable), 1, 1, nil},
+			{"the other entry failed", "b", part, errors.Join(kctport.ErrReset, kctport.ErrUnavailable), 0, 1, kctport.ErrReset},
+			{"all entries rest", "b", part, nil, 1, 0, nil},
+		} {
+			w.direct, w.failure = 0, c.failure
+			clear(w.via)
+			err := send(c.zone, c.options)
+			if w.direct != c.direct || w.via["b1"]+w.via["b2"] != c.relays || !errors.Is(err, c.want) {
+				t.Errorf("%s: %d straight, %v relayed, %v", c.name, w.direct, w.via, err)
+			}
+		}
+		time.Sleep(restTime)
+		w.failure = nil
+		clear(w.via)
+		for range 10 {
+			if err := send("b", part); err != nil {
+				t.Error(err)
+			}
+		}
+		if len(w.via) != 1 {
+			t.Errorf("relayed through %v, want one entry while it works", w.via)
+		}
+	})
+}
+
+// TestServer guards against attempts at endpoints that this entry doesn't know or that it no longer may use.
+func TestServer(t *testing.T) {
+	w := &ways{via: map[kctport.InstanceID]int{}}
+	known := &kctport.Fleet{
+		Rules:   &kctport.Rules{Services: map[kctport.ServiceName]kctport.ServiceRule{"s": {Connections: 36}}},
+		Servers: map[kctport.ServiceName][]*kctport.FleetServer{"s": {{Server: kctport.Server{ID: "e", Service: "s"}}}}, Senders: 1,
+	}
+	draining := *known
+	draining.Draining = true
+	for name, c := range map[string]struct {
+		fleet    *kctport.Fleet
+		endpoint kctport.InstanceID
+		sent     int
+	}{
+		"known": {known, "e", 1}, "unknown": {known, "f", 0}, "draining": {&draining, "e", 0}, "no rules": {&kctport.Fleet{}, "e", 0},
+	} {
+		w.direct = 0
+		_, err := NewServer(picture{c.fleet}, w).Relay(t.Context(), kctport.RelayAttempt{Service: "s", Endpoint: c.endpoint})
+		if w.direct != c.sent || errors.Is(err, kctport.ErrNotRun) != (c.sent == 0) {
+			t.Errorf("%s: %d sent, %v", name, w.direct, err)
+		}
+	}
+}
--- a/feed.go
+++ b/feed.go
@@ -12,6 +12,8 @@
 	Zone   Zone
 	Caller netip.AddrPort
 	Peer   netip.AddrPort
+	// Relay takes attempts of entries of other zones; it is invalid where it isn't known.
+	Relay netip.AddrPort
 	// Leaving is set while the entry shuts down.
 	Leaving bool
 	// Load is the share of its processor time that the entry uses, 0 to 1.
--- a/forward.go
+++ b/forward.go
@@ -84,12 +84,36 @@
 	Deadline time.Time
 	// Connections is this entry's share of the endpoint's connections.
 	Connections int
+	// Part is set when only the status, signature and body of the answer matter, since it is merged with others.
+	Part bool
+	// Repeat is set for any but the first attempt of a part.
+	Repeat bool
 	// Once asks for a connection that is unlikely to be closed by the endpoint, since the request can't be repeated.
 	Once bool
 	// Sent is called once just before the first byte of the request leaves.
 	Sent func()
 }
 
+// Relay is the port to entries of other zones that send attempts to endpoints there.
+type Relay interface {
+	// Exchange makes an attempt through an entry; an error wraps ErrNotRun when nothing was sent, and ErrUnavailable when the entry failed.
+	Exchange(ctx context.Context, via EntryRecord, server *Server, message *Message, options ExchangeOptions) (Response, error)
+}
+
+// RelayAttempt is an attempt that another entry asks for.
+type RelayAttempt struct {
+	Service  ServiceName
+	Endpoint InstanceID
+	Message  *Message
+	// Deadline is when the endpoint may stop working on the request.
+	Deadline time.Time
+}
+
+// RelayHandler makes the attempts that other entries ask for; the relay adapter calls it.
+type RelayHandler interface {
+	Relay(ctx context.Context, attempt RelayAttempt) (Response, error)
+}
+
 // Dialect translates message headers between the tier and the platform's names.
 type Dialect interface {
 	// Request reads a caller's identifier and the time it will wait; ok is false without an identifier.
--- a/io/kctfeed/message.go
+++ b/io/kctfeed/message.go
@@ -15,10 +15,14 @@
 const perMille = 1000
 
 func encodeEntry(e kctport.EntryRecord) *kctproto.FeedEntry {
-	return &kctproto.FeedEntry{
+	out := &kctproto.FeedEntry{
 		Id: string(e.ID), Zone: string(e.Zone), Caller: e.Caller.String(), Peer: e.Peer.String(), Leaving: e.Leaving,
 		Load: uint32(math.Round(e.Load * perMille)), Capacity: uint32(math.Round(e.Cores * perMille)),
 	}
+	if e.Relay.IsValid() {
+		out.Relay = uint32(e.Relay.Port())
+	}
+	return out
 }
 
 func decodeEntry(e *kctproto.FeedEntry) (kctport.EntryRecord, error) {
@@ -30,8 +34,12 @@
 	if err != nil {
 		return kctport.EntryRecord{}, eris.Wrapf(kctport.ErrInvalid, "peer address of entry %q: %v", e.GetId(), err)
 	}
+	var relay netip.AddrPort
+	if port := e.GetRelay(); port > 0 && port <= math.MaxUint16 {
+		relay = netip.AddrPortFrom(peer.Addr(), uint16(port))
+	}
 	return kctport.EntryRecord{
-		ID: kctport.InstanceID(e.GetId()), Zone: kctport.Zone(e.GetZone()), Caller: caller, Peer: peer, Leaving: e.GetLeaving(),
+		Relay: relay, ID: kctport.InstanceID(e.GetId()), Zone: kctport.Zone(e.GetZone()), Caller: caller, Peer: peer, Leaving: e.GetLeaving(),
 		Load: float64(e.GetLoad()) / perMille, Cores: float64(e.GetCapacity()) / perMille,
 	}, nil
 }
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -19,12 +19,14 @@
 	"kingcupturn/core/kctdirectory"
 	"kingcupturn/core/kctfleet"
 	"kingcupturn/core/kctforward"
+	"kingcupturn/core/kctpath"
 	"kingcupturn/core/kctroutes"
 	"kingcupturn/io/kctegress"
 	"kingcupturn/io/kctfeed"
 	"kingcupturn/io/kctingress"
 	"kingcupturn/io/kctlog"
 	"kingcupturn/io/kctmetric"
+	"kingcupturn/io/kctrelay"
 	"kingcupturn/io/kctsetting"
 	"kingcupturn/io/kcttimer"
 	"kingcupturn/io/kctusage"
@@ -57,6 +59,7 @@
 	// bounds are those of extra attempts, as last reloaded.
 	bounds  atomic.Pointer[kctbalance.BudgetSettings]
 	ingress *kctingress.Server
+	relay   *kctrelay.Client
 }
 
 // Option changes a node at construction.
@@ -97,7 +100,9 @@
 		kctfleet.WithZones(settings.Zones), kctfleet.WithApply(settings.Apply))
 	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
 	n.metrics.Follow(n.control, n.timer, n.policies.Balancer.Ejected, n.egress.Opened, n.dropped)
-	engine := kctforward.NewEngine(n.control, n.timer, n.egress, n.policies, observers{log, n.metrics}, kctforward.WithAttempts(n.control))
+	n.relay = kctrelay.NewClient(n.timer)
+	path := kctpath.New(n.self(), n.control, n.egress, n.relay, n.timer)
+	engine := kctforward.NewEngine(n.control, n.timer, path, n.policies, observers{log, n.metrics}, kctforward.WithAttempts(n.control))
 	n.ingress = kctingress.New(settings.Caller, engine, n.control, kctadapter.Dialect{}, n.timer)
 	return n
 }
@@ -140,6 +145,11 @@
 	if err != nil {
 		return err
 	}
+	relays, err := kctrelay.NewServer(n.settings.Relay, kctpath.NewServer(n.control, n.egress), n.timer).Start(work)
+	if err != nil {
+		return err
+	}
+	relay := n.relay.Run(work)
 	callers, err := n.ingress.Start(work)
 	if err != nil {
 		return err
@@ -160,6 +170,8 @@
 	<-egress
 	<-usage
 	<-feeds
+	<-relays
+	<-relay
 	klog.InfoS("entry stopped", "id", n.settings.ID, "err", err)
 	return err
 }
@@ -197,7 +209,7 @@
 }
 
 func (n *Node) self() kctport.EntryRecord {
-	return kctport.EntryRecord{ID: n.settings.ID, Zone: n.settings.Zone, Caller: n.settings.Caller, Peer: n.settings.Peer, Cores: n.settings.Cores}
+	return kctport.EntryRecord{ID: n.settings.ID, Zone: n.settings.Zone, Caller: n.settings.Caller, Peer: n.settings.Peer, Relay: n.settings.Relay, Cores: n.settings.Cores}
 }
 
 // frontTimeout bounds the headers of a small request, and frontIdle an unused connection.
--- /dev/null
+++ b/io/kctrelay/relay_test.go
@@ -0,0 +1,171 @@
+package kctrelay_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	kctport "kingcupturn"
+	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctrelay"
+	"kingcupturn/io/kcttimer"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// handler answers by the endpoint's name and counts what it got.
+type handler struct {
+	mu        sync.Mutex
+	attempts  int
+	cancelled chan struct{}
+}
+
+func (h *handler) Relay(ctx context.Context, a kctport.RelayAttempt) (kctport.Response, error) {
+	h.mu.Lock()
+	h.attempts++
+	h.mu.Unlock()
+	switch a.Endpoint {
+	case "silent":
+		<-ctx.Done()
+		close(h.cancelled)
+		return kctport.Response{}, ctx.Err()
+	case "unknown":
+		return kctport.Response{}, kctport.ErrNotRun
+	case "reset":
+		return kctport.Response{}, kctport.ErrReset
+	case "mismatch":
+		return kctport.Response{}, kctport.ErrMismatch
+	case "late":
+		return kctport.Response{}, kctport.ErrTimeout
+	}
+	m := a.Message
+	body := bytes.Join([][]byte{[]byte(m.ID), []byte(m.Method), []byte(m.Target), []byte(m.Host), []byte(m.Header["X-Own"][0]), m.Body, []byte(a.Service)}, []byte("|"))
+	return kctport.Response{
+		Status: 200, Signature: "sig-" + string(a.Endpoint), Body: body, Load: &kctport.Load{Running: 1, Waiting: 2, Slots: 3}, Cold: time.Second,
+		NotRun: a.Endpoint == "refusing", Misdirected: a.Endpoint == "refusing",
+	}, nil
+}
+
+type fixture struct {
+	client  *kctrelay.Client
+	handler *handler
+	via     kctport.EntryRecord
+	relay   *kctfake.Relay
+}
+
+// start serves a handler behind a loopback relay with faults.
+func start(t *testing.T) *fixture {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := netip.MustParseAddrPort(l.Addr().String())
+	l.Close()
+	f := &fixture{client: kctrelay.NewClient(kcttimer.New()), handler: &handler{cancelled: make(chan struct{})}, relay: kctfake.NewRelay(at)}
+	ctx, cancel := context.WithCancel(context.Background())
+	served, err := kctrelay.NewServer(at, f.handler, kcttimer.New()).Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	through, err := f.relay.Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.via = kctport.EntryRecord{ID: "via", Peer: through, Relay: through}
+	running := f.client.Run(ctx)
+	t.Cleanup(func() {
+		cancel()
+		f.relay.Stop()
+		<-served
+		<-running
+	})
+	return f
+}
+
+func message() *kctport.Message {
+	return &kctport.Message{
+		ID: "id", Method: "POST", Target: "/a?b=c", Host: "h", Header: kctport.Header{"X-Own": {"own"}}, Body: []byte("body"), Deadline: time.Now().Add(20 * time.Second),
+	}
+}
+
+func (f *fixture) ask(ctx context.Context, m *kctport.Message, endpoint kctport.InstanceID) (kctport.Response, error) {
+	return f.client.Exchange(ctx, f.via, &kctport.Server{ID: endpoint, Service: "s"}, m, kctport.ExchangeOptions{Deadline: m.Deadline})
+}
+
+// TestRelay guards against lost fields, answers that go to another attempt, and failures that change their meaning on the way.
+func TestRelay(t *testing.T) {
+	f := start(t)
+	m := message()
+	var group sync.WaitGroup
+	for range 50 {
+		group.Go(func() {
+			r, err := f.ask(t.Context(), m, "one")
+			if err != nil || string(r.Body) != "id|POST|/a?b=c|h|own|body|s" || r.Signature != "sig-one" || r.Status != 200 || *r.Load != (kctport.Load{Running: 1, Waiting: 2, Slots: 3}) || r.Cold != time.Second || r.NotRun {
+				t.Errorf("%+v, %v", r, err)
+			}
+		})
+		group.Go(func() {
+			if r, err := f.ask(t.Context(), m, "refusing"); err != nil || !r.NotRun || !r.Misdirected {
+				t.Errorf("%+v, %v", r, err)
+			}
+		})
+	}
+	group.Wait()
+	for endpoint, want := range map[kctport.InstanceID]error{
+		"unknown": kctport.ErrNotRun, "reset": kctport.ErrReset, "mismatch": kctport.ErrMismatch, "late": kctport.ErrTimeout,
+	} {
+		_, err := f.ask(t.Context(), m, endpoint)
+		if !errors.Is(err, want) || want != kctport.ErrNotRun && errors.Is(err, kctport.ErrNotRun) {
+			t.Errorf("%s: %v, want %v", endpoint, err, want)
+		}
+	}
+}
+
+// TestCancelledAttempt guards against work for a caller that has left.
+func TestCancelledAttempt(t *testing.T) {
+	f := start(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if _, err := f.ask(ctx, message(), "silent"); !errors.Is(err, context.Canceled) {
+		t.Errorf("ended with %v", err)
+	}
+	select {
+	case <-f.handler.cancelled:
+	case <-time.After(5 * time.Second):
+		t.Error("the attempt goes on after its caller has left")
+	}
+}
+
+// TestLostEntry guards against an attempt that is called not run though it may have, and against one that hangs on a silent connection.
+func TestLostEntry(t *testing.T) {
+	f := start(t)
+	if _, err := f.ask(t.Context(), message(), "one"); err != nil {
+		t.Fatal(err)
+	}
+	time.AfterFunc(50*time.Millisecond, func() { f.relay.SetFaults(kctfake.RelayFaults{Up: true, Down: true}) })
+	began := time.Now()
+	_, err := f.ask(t.Context(), message(), "silent")
+	if !errors.Is(err, kctport.ErrReset) || !errors.Is(err, kctport.ErrUnavailable) || errors.Is(err, kctport.ErrNotRun) || time.Since(began) > 10*time.Second {
+		t.Errorf("after %v: %v", time.Since(began), err)
+	}
+	closed := f.via
+	// Nothing listens at the port of the discard service.
+	closed.ID, closed.Relay = "closed", netip.MustParseAddrPort("127.0.0.1:9")
+	if _, err := f.client.Exchange(t.Context(), closed, &kctport.Server{}, message(), kctport.ExchangeOptions{Deadline: time.Now().Add(time.Second)}); !errors.Is(err, kctport.ErrNotRun) {
+		t.Errorf("without a connection: %v", err)
+	}
+	f.relay.SetFaults(kctfake.RelayFaults{})
+	if _, err := f.ask(t.Context(), message(), "one"); err != nil {
+		t.Errorf("after the return: %v", err)
+	}
+}
--- /dev/null
+++ b/io/kctrelay/wire.go
@@ -0,0 +1,149 @@
+package kctrelay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/proto"
+
+	kctport "kingcupturn"
+	"kingcupturn/io/kctpeer"
+	"kingcupturn/io/kctproto"
+)
+
+const (
+	// writeTimeout bounds a write to an entry that doesn't read.
+	writeTimeout = time.Second
+	// dialTimeout bounds a new connection; entries are a few milliseconds apart.
+	dialTimeout = 200 * time.Millisecond
+	// keepAlive is how often an open session is probed: a connection may go silent without an end.
+	keepAlive = 500 * time.Millisecond
+	// maxMessage bounds a message in bytes; bodies of callers and endpoints are far smaller.
+	maxMessage = 32 << 20
+)
+
+var (
+	// errNotSent means that the attempt has not left.
+	errNotSent = errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable)
+	// errLost means that the attempt may have run and the entry that made it is gone.
+	errLost = errors.Join(kctport.ErrReset, kctport.ErrUnavailable)
+)
+
+func muxConfig() *yamux.Config {
+	c := yamux.DefaultConfig()
+	c.KeepAliveInterval = keepAlive
+	c.ConnectionWriteTimeout = writeTimeout
+	c.StreamOpenTimeout = 0
+	c.LogOutput = nil
+	c.Logger = kctpeer.MuxLogger{}
+	return c
+}
+
+// stream reads and writes messages with their length in front; several goroutines may write.
+type stream struct {
+	net.Conn
+	reader *bufio.Reader
+	mu     sync.Mutex
+}
+
+func newStream(c net.Conn) *stream {
+	return &stream{Conn: c, reader: bufio.NewReader(c)}
+}
+
+func (s *stream) send(m proto.Message) error {
+	return s.sendMade(func() proto.Message { return m })
+}
+
+// sendMade makes a message while nothing else can be written, so that messages that build on one another keep their order.
+func (s *stream) sendMade(make func() proto.Message) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := make()
+	if err := s.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := protodelim.MarshalTo(s.Conn, m)
+	return err
+}
+
+func (s *stream) receive(m proto.Message) error {
+	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(s.reader, m)
+}
+
+func encodeMessage(number uint64, m *kctport.Message, left time.Duration) *kctproto.RelayMessage {
+	out := &kctproto.RelayMessage{
+		Number: number, Id: m.ID, Method: m.Method, Target: m.Target, Host: m.Host, Body: m.Body, Left: int64(left),
+	}
+	for name, values := range m.Header {
+		for _, v := range values {
+			out.Headers = append(out.Headers, &kctproto.RelayHeader{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+func decodeMessage(m *kctproto.RelayMessage, now time.Time) *kctport.Message {
+	out := &kctport.Message{
+		ID: m.GetId(), Method: m.GetMethod(), Target: m.GetTarget(), Host: m.GetHost(), Body: m.GetBody(),
+		Header: kctport.Header{}, Received: now, Deadline: now.Add(time.Duration(m.GetLeft())),
+	}
+	for _, h := range m.GetHeaders() {
+		out.Header[h.GetName()] = append(out.Header[h.GetName()], h.GetValue())
+	}
+	return out
+}
+
+func encodeResult(number uint64, r kctport.Response, err error) *kctproto.RelayResult {
+	if err != nil {
+		return &kctproto.RelayResult{Number: number, Failure: failureOf(err), Detail: err.Error()}
+	}
+	out := &kctproto.RelayResult{
+		Number: number, Status: uint32(r.Status), Signature: r.Signature, Body: r.Body, Refused: r.NotRun, Misdirected: r.Misdirected, Cold: int64(r.Cold),
+	}
+	if l := r.Load; l != nil {
+		out.Load = []uint32{uint32(l.Running), uint32(l.Waiting), uint32(l.Slots)}
+	}
+	return out
+}
+
+func failureOf(err error) kctproto.RelayFailure {
+	switch {
+	case errors.Is(err, kctport.ErrNotRun):
+		return kctproto.RelayFailure_RELAY_FAILURE_NOT_SENT
+	case errors.Is(err, kctport.ErrTimeout), errors.Is(err, context.DeadlineExceeded):
+		return kctproto.RelayFailure_RELAY_FAILURE_TIMEOUT
+	case errors.Is(err, kctport.ErrMismatch):
+		return kctproto.RelayFailure_RELAY_FAILURE_MISMATCH
+	}
+	return kctproto.RelayFailure_RELAY_FAILURE_RESET
+}
+
+func decodeResult(m *kctproto.RelayResult) (kctport.Response, error) {
+	switch m.GetFailure() {
+	case kctproto.RelayFailure_RELAY_FAILURE_NONE:
+	case kctproto.RelayFailure_RELAY_FAILURE_NOT_SENT:
+		return kctport.Response{}, eris.Wrapf(kctport.ErrNotRun, "relayed: %s", m.GetDetail())
+	case kctproto.RelayFailure_RELAY_FAILURE_TIMEOUT:
+		return kctport.Response{}, eris.Wrapf(kctport.ErrTimeout, "relayed: %s", m.GetDetail())
+	case kctproto.RelayFailure_RELAY_FAILURE_MISMATCH:
+		return kctport.Response{}, eris.Wrapf(kctport.ErrMismatch, "relayed: %s", m.GetDetail())
+	default:
+		return kctport.Response{}, eris.Wrapf(kctport.ErrReset, "relayed: %s", m.GetDetail())
+	}
+	r := kctport.Response{
+		Status: int(m.GetStatus()), Signature: m.GetSignature(), Body: m.GetBody(), NotRun: m.GetRefused(), Misdirected: m.GetMisdirected(),
+		Cold: time.Duration(m.GetCold()),
+	}
+	const loadNumbers = 3
+	if l := m.GetLoad(); len(l) == loadNumbers {
+		r.Load = &kctport.Load{Running: int(l[0]), Waiting: int(l[1]), Slots: int(l[2])}
+	}
+	return r, nil
+}
--- a/io/kctsetting/serve.go
+++ b/io/kctsetting/serve.go
@@ -24,6 +24,8 @@
 	Metrics   netip.AddrPort
 	// Peer is the address for other entries.
 	Peer netip.AddrPort
+	// Relay is the address for attempts of entries of other zones; it has the IP address of Peer.
+	Relay netip.AddrPort
 	// Store is the address of the platform's store.
 	Store netip.AddrPort
 	// Cores is the processor time that the process may use, in cores.
@@ -68,9 +70,9 @@
 
 // ServingValues holds the settings as text, so that all problems are found in one pass.
 type ServingValues struct {
-	id, zone, caller, ready, directory, metrics, peer, store, grace, zones, apply string
-	memory                                                                        int
-	ratio, slack, quota, cores, overshoot, coldSlack                              float64
+	id, zone, caller, ready, directory, metrics, peer, relay, store, grace, zones, apply string
+	memory                                                                               int
+	ratio, slack, quota, cores, overshoot, coldSlack                                     float64
 }
 
 // RegisterServing adds the flags of the settings to a flag set.
@@ -84,6 +86,7 @@
 	set.StringVar(&v.directory, "directory", "", "`ip:port` for callers that ask where to connect")
 	set.StringVar(&v.metrics, "metrics", "", "`ip:port` for metrics")
 	set.StringVar(&v.peer, "peer", "", "`ip:port` for other entries")
+	set.StringVar(&v.relay, "relay", "", "`ip:port` for attempts of entries of other zones, with the IP address of peer")
 	set.StringVar(&v.store, "store", "", "`ip:port` of the platform's store")
 	set.StringVar(&v.grace, "grace", defaultGrace, "time between the request to stop and the end, 1s to 5m")
 	set.IntVar(&v.memory, "memory", defaultMemory, "memory limit of the process in MiB, 32 to 65536")
@@ -129,11 +132,14 @@
 	s := Serving{
 		ID: kctport.InstanceID(v.id), Zone: kctport.Zone(v.zone),
 		Caller: p.address("caller", v.caller), Ready: p.address("ready", v.ready), Directory: p.address("directory", v.directory),
-		Metrics: p.address("metrics", v.metrics), Peer: p.address("peer", v.peer), Store: p.address("store", v.store),
+		Metrics: p.address("metrics", v.metrics), Peer: p.address("peer", v.peer), Relay: p.address("relay", v.relay), Store: p.address("store", v.store),
 		Cores: v.quota * v.cores, Memory: v.memory, Ratio: v.ratio, Slack: v.slack,
 		Overshoot: v.overshoot, ColdSlack: v.coldSlack, Zones: countNames(v.zones),
 		Grace: p.duration("grace", v.grace, minGrace, maxGrace), Apply: p.duration("apply", v.apply, minApply, maxApply),
 	}
+	if s.Relay.Addr() != s.Peer.Addr() {
+		p.add("relay", v.relay, "the IP address of peer")
+	}
 	p.between("memory", v.memory, minMemory, maxMemory)
 	p.share("quota", v.quota, 1)
 	p.share("cores", v.cores, maxCores)
--- a/io/kctsetting/serve_test.go
+++ b/io/kctsetting/serve_test.go
@@ -15,7 +15,7 @@
 )
 
 const serving = `{"id":"e-1","zone":"a","caller":"10.0.0.1:1","ready":"10.0.0.1:2","directory":"10.0.0.1:3","metrics":"10.0.0.1:4",
-"peer":"10.0.0.1:5","store":"10.0.0.9:1","memory":284,"grace":"6s","quota":0.4,"cores":1,"ratio":0.2,"slack":58,"newer":{"unknown":1}}`
+"peer":"10.0.0.1:5","relay":"10.0.0.1:6","store":"10.0.0.9:1","memory":284,"grace":"6s","quota":0.4,"cores":1,"ratio":0.2,"slack":58,"newer":{"unknown":1}}`
 
 func write(t *testing.T, text string) string {
 	t.Helper()
