--- a/io/kctrelay/wire.go
+++ b/io/kctrelay/wire.go
@@ -62,10 +62,10 @@
 }
 
 // sendMade makes a message while nothing else can be written, so that messages that build on one another keep their order.
-func (s *stream) sendMade(make func() proto.Message) error {
+func (s *stream) sendMade(build func() proto.Message) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := make()
+	m := build()
 	if err := s.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
