--- a/core/kctfleet/move.go
+++ b/core/kctfleet/move.go
@@ -54,12 +54,12 @@
 // orders lists the operator's orders by service.
 func (s *state) orders() map[kctport.ServiceName]orderedMove {
 	found := map[kctport.ServiceName]orderedMove{}
-	for _, r := range s.records {
+	for _, r := range s.moving {
 		if r.Move != nil {
 			found[r.Move.Service] = orderedMove{MoveOrder: *r.Move, id: fmt.Sprintf("%s@%d", r.Move.To, r.Revision)}
 		}
 	}
-	for _, r := range s.records {
+	for _, r := range s.moving {
 		if r.Progress == nil {
 			continue
 		}
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -29,8 +29,12 @@
 type state struct {
 	self    kctport.EntryRecord
 	records map[string]*record
-	rules   *kctport.Rules
-	table   *kctroutes.Table
+	// moving are the records of moves, which are looked at often, among all others.
+	moving map[string]*record
+	// lapsed are the records that vanished while the store was away and may come back.
+	lapsed map[string]*record
+	rules  *kctport.Rules
+	table  *kctroutes.Table
 	// rulesChange is the change that brought the rules in force, for new subscribers.
 	rulesChange kctport.RegistryChange
 	// contact is when the store was last heard, regained when it came back after a failure.
@@ -52,7 +56,7 @@
 
 func newState(self kctport.EntryRecord) *state {
 	return &state{
-		self: self, records: map[string]*record{}, sharers: map[kctport.InstanceID]time.Time{},
+		self: self, records: map[string]*record{}, moving: map[string]*record{}, lapsed: map[string]*record{}, sharers: map[kctport.InstanceID]time.Time{},
 		members: newMembers(self.ID), active: newActiveSet(), mover: newMover(self.ID),
 	}
 }
@@ -124,7 +128,12 @@
 	if c.Deleted {
 		return s.vanish(now, old, c)
 	}
-	s.records[c.Key] = &record{RegistryChange: c, at: now}
+	r := &record{RegistryChange: c, at: now}
+	s.records[c.Key] = r
+	delete(s.lapsed, c.Key)
+	if c.Kind == kctport.RecordMove || c.Kind == kctport.RecordProgress {
+		s.moving[c.Key] = r
+	}
 	s.outbox = append(s.outbox, c)
 	return []event{changed(old, c)}
 }
@@ -150,21 +159,25 @@
 	if c.Kind == kctport.RecordServer && s.holding(now) {
 		if old.missing.IsZero() {
 			old.missing = now
+			s.lapsed[c.Key] = old
 			old.Revision = c.Revision
 			return []event{{what: "record lapsed during an outage of the store", key: c.Key}}
 		}
 		return nil
 	}
 	delete(s.records, c.Key)
+	delete(s.moving, c.Key)
+	delete(s.lapsed, c.Key)
 	return []event{{what: "record gone", key: c.Key}}
 }
 
 // expire drops the records that did not return after an outage.
 func (s *state) expire(now time.Time) []event {
 	var events []event
-	for key, r := range s.records {
-		if !r.missing.IsZero() && !s.holding(now) {
+	for key, r := range s.lapsed {
+		if !s.holding(now) {
 			delete(s.records, key)
+			delete(s.lapsed, key)
 			s.outbox = append(s.outbox, kctport.RegistryChange{Kind: r.Kind, Key: key, Revision: r.Revision, Deleted: true})
 			events = append(events, event{what: "record gone", key: key, detail: "not back after the outage of the store"})
 		}
