--- a/io/kctfeed/client.go
+++ b/io/kctfeed/client.go
@@ -5,10 +5,10 @@
 	"net"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctmux"
 	"kingcupturn/io/kctproto"
 )
 
@@ -35,19 +35,13 @@
 	if err != nil {
 		return eris.Wrapf(kctport.ErrUnavailable, "connect to %s: %v", reader.ID, err)
 	}
-	session, err := yamux.Client(conn, muxConfig())
+	s, err := kctmux.Open(conn, streamOptions)
 	if err != nil {
-		conn.Close()
-		return eris.Wrapf(kctport.ErrUnavailable, "session with %s: %v", reader.ID, err)
+		return err
 	}
-	defer session.Close()
-	release := context.AfterFunc(ctx, func() { session.Close() })
+	defer s.Close()
+	release := context.AfterFunc(ctx, s.Close)
 	defer release()
-	opened, err := session.Open()
-	if err != nil {
-		return eris.Wrapf(kctport.ErrUnavailable, "stream to %s: %v", reader.ID, err)
-	}
-	s := newStream(opened)
 	sent := c.timer.Now()
 	beats, stop := context.WithCancel(ctx)
 	beating := make(chan struct{})
@@ -57,16 +51,16 @@
 	}()
 	err = c.receive(s, sent, take)
 	stop()
-	session.Close()
+	s.Close()
 	<-beating
 	return eris.Wrapf(kctport.ErrUnavailable, "feed of %s: %v", reader.ID, err)
 }
 
 // beat writes this entry's record until the stream fails or the context ends; the reading side notices the failure.
-func (c *Client) beat(ctx context.Context, s *stream, self func() kctport.EntryRecord) {
+func (c *Client) beat(ctx context.Context, s *kctmux.Stream, self func() kctport.EntryRecord) {
 	ticks := c.timer.Subscribe(ctx, beatInterval)
 	for {
-		if err := s.send(&kctproto.FeedHello{Self: encodeEntry(self())}); err != nil {
+		if err := s.Send(&kctproto.FeedHello{Self: encodeEntry(self())}); err != nil {
 			s.Close()
 			return
 		}
@@ -80,10 +74,10 @@
 
 // receive hands over updates and acknowledges each. The other side sends the next one only then, so that an update was made after the
 // last acknowledgement, which bounds its age however long it was on its way.
-func (c *Client) receive(s *stream, acknowledged time.Time, take func(kctport.FeedUpdate)) error {
+func (c *Client) receive(s *kctmux.Stream, acknowledged time.Time, take func(kctport.FeedUpdate)) error {
 	for {
 		var m kctproto.FeedUpdate
-		if err := s.receive(&m); err != nil {
+		if err := s.Receive(&m); err != nil {
 			return err
 		}
 		f, err := decodeUpdate(&m, c.decode)
@@ -93,7 +87,7 @@
 		f.Age += c.timer.Now().Sub(acknowledged)
 		take(f)
 		acknowledged = c.timer.Now()
-		if err := s.send(acknowledgement); err != nil {
+		if err := s.Send(acknowledgement); err != nil {
 			return err
 		}
 	}
--- a/io/kctfeed/server.go
+++ b/io/kctfeed/server.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/netip"
-	"sync"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
-	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctmux"
 	"kingcupturn/io/kctproto"
 )
 
@@ -29,60 +25,13 @@
 
 // Start listens until the context ends; the channel closes when all feeds have ended.
 func (s *Server) Start(ctx context.Context) (<-chan struct{}, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.address.String())
-	if err != nil {
-		return nil, eris.Wrapf(kctport.ErrUnavailable, "listen for entries at %s: %v", s.address, err)
-	}
-	context.AfterFunc(ctx, func() { l.Close() })
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.accept(ctx, l)
-	}()
-	return done, nil
-}
-
-func (s *Server) accept(ctx context.Context, l net.Listener) {
-	var feeds sync.WaitGroup
-	defer feeds.Wait()
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			klog.InfoS("subscriber not accepted", "err", err)
-			continue
-		}
-		feeds.Go(func() { s.serve(ctx, conn) })
-	}
-}
-
-// serve handles one subscriber until its feed ends.
-func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(conn, muxConfig())
-	if err != nil {
-		conn.Close()
-		klog.InfoS("session not opened", "peer", conn.RemoteAddr(), "err", err)
-		return
-	}
-	defer session.Close()
-	release := context.AfterFunc(ctx, func() { session.Close() })
-	defer release()
-	accepted, err := session.AcceptStream()
-	if err != nil {
-		klog.V(1).InfoS("stream not opened", "peer", conn.RemoteAddr(), "err", err)
-		return
-	}
-	if err := s.feed(ctx, newStream(accepted), session); err != nil {
-		klog.V(1).InfoS("feed ended", "peer", conn.RemoteAddr(), "err", err)
-	}
+	return kctmux.Serve(ctx, "feeds", s.address, streamOptions, s.feed)
 }
 
 // feed reads the subscriber's beats while another goroutine writes updates.
-func (s *Server) feed(ctx context.Context, st *stream, session *yamux.Session) error {
+func (s *Server) feed(ctx context.Context, st *kctmux.Stream) error {
 	var hello kctproto.FeedHello
-	if err := st.receive(&hello); err != nil {
+	if err := st.Receive(&hello); err != nil {
 		return err
 	}
 	entry, err := decodeEntry(hello.GetSelf())
@@ -94,11 +43,11 @@
 	writing := make(chan struct{})
 	go func() {
 		defer close(writing)
-		defer session.Close()
+		defer st.Close()
 		s.write(st, subscription.Updates(), acknowledged)
 	}()
 	err = s.read(ctx, st, subscription, acknowledged)
-	session.Close()
+	st.Close()
 	close(acknowledged)
 	subscription.End(context.WithoutCancel(ctx))
 	<-writing
@@ -106,10 +55,10 @@
 }
 
 // read takes beats and acknowledgements until the stream ends.
-func (s *Server) read(ctx context.Context, st *stream, subscription kctport.FeedSubscription, acknowledged chan<- struct{}) error {
+func (s *Server) read(ctx context.Context, st *kctmux.Stream, subscription kctport.FeedSubscription, acknowledged chan<- struct{}) error {
 	for {
 		var m kctproto.FeedHello
-		if err := st.receive(&m); err != nil {
+		if err := st.Receive(&m); err != nil {
 			return err
 		}
 		if m.GetSelf() == nil {
@@ -129,9 +78,9 @@
 }
 
 // write passes updates on, each after the last one was acknowledged, until the subscription or the stream ends; the reading side then ends too.
-func (s *Server) write(st *stream, updates <-chan kctport.FeedUpdate, acknowledged <-chan struct{}) {
+func (s *Server) write(st *kctmux.Stream, updates <-chan kctport.FeedUpdate, acknowledged <-chan struct{}) {
 	for f := range updates {
-		if err := st.send(s.encoder.update(f)); err != nil {
+		if err := st.Send(s.encoder.update(f)); err != nil {
 			return
 		}
 		if _, ok := <-acknowledged; !ok {
--- /dev/null
+++ b/io/kctmux/serve.go
@@ -0,0 +1,76 @@
+package kctmux
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/hashicorp/yamux"
+	"github.com/rotisserie/eris"
+	"k8s.io/klog/v2"
+
+	kctport "kingcupturn"
+)
+
+// Handler serves one stream until it ends; the context ends with the server.
+type Handler func(ctx context.Context, s *Stream) error
+
+// Serve listens until the context ends; the channel closes when all streams have ended. The name is for logs.
+func Serve(ctx context.Context, name string, address netip.AddrPort, o Options, handle Handler) (<-chan struct{}, error) {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, eris.Wrapf(kctport.ErrUnavailable, "listen for %s at %s: %v", name, address, err)
+	}
+	context.AfterFunc(ctx, func() { l.Close() })
+	s := &server{name: name, options: o, handle: handle}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.accept(ctx, l)
+	}()
+	return done, nil
+}
+
+type server struct {
+	name    string
+	options Options
+	handle  Handler
+}
+
+func (s *server) accept(ctx context.Context, l net.Listener) {
+	var streams sync.WaitGroup
+	defer streams.Wait()
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			klog.InfoS("connection not accepted", "for", s.name, "err", err)
+			continue
+		}
+		streams.Go(func() { s.serve(ctx, conn) })
+	}
+}
+
+// serve handles one connection until its stream ends.
+func (s *server) serve(ctx context.Context, conn net.Conn) {
+	session, err := yamux.Server(conn, s.options.config())
+	if err != nil {
+		conn.Close()
+		klog.InfoS("session not opened", "for", s.name, "peer", conn.RemoteAddr(), "err", err)
+		return
+	}
+	defer session.Close()
+	release := context.AfterFunc(ctx, func() { session.Close() })
+	defer release()
+	accepted, err := session.AcceptStream()
+	if err != nil {
+		klog.V(1).InfoS("stream not opened", "for", s.name, "peer", conn.RemoteAddr(), "err", err)
+		return
+	}
+	err = s.handle(ctx, newStream(session, accepted, s.options))
+	klog.V(1).InfoS("stream ended", "for", s.name, "peer", conn.RemoteAddr(), "err", err)
+}
--- a/io/kctrelay/client.go
+++ b/io/kctrelay/client.go
@@ -7,12 +7,12 @@
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctmux"
 	"kingcupturn/io/kctproto"
 )
 
@@ -22,6 +22,8 @@
 
 	mu       sync.Mutex
 	sessions map[kctport.InstanceID]*session
+	// closed is set when no session may be opened any more.
+	closed bool
 	// readers are the goroutines of open sessions.
 	readers sync.WaitGroup
 }
@@ -40,7 +42,9 @@
 		defer close(done)
 		<-ctx.Done()
 		c.mu.Lock()
+		c.closed = true
 		for _, s := range c.sessions {
+			<-s.opened
 			s.close()
 		}
 		c.mu.Unlock()
@@ -54,8 +58,7 @@
 	// opened is closed once the stream is there or err is set.
 	opened chan struct{}
 	err    error
-	stream *stream
-	mux    *yamux.Session
+	stream *kctmux.Stream
 	// ended is closed when the stream has failed.
 	ended chan struct{}
 
@@ -79,7 +82,7 @@
 		o.Sent()
 	}
 	a := &attempt{server: server, message: m, left: left, result: make(chan *kctproto.RelayResult, 1)}
-	err = s.stream.sendMade(func() proto.Message { return s.begin(a, c.timer.Now()) })
+	err = s.stream.SendBuilt(func() proto.Message { return s.begin(a, c.timer.Now()) })
 	number := a.number
 	defer s.forget(number)
 	if err != nil {
@@ -93,7 +96,7 @@
 		return kctport.Response{}, eris.Wrapf(errLost, "relay through %s ended", via.ID)
 	case <-ctx.Done():
 	}
-	if err := s.stream.send(&kctproto.RelayCall{Cancel: number}); err != nil {
+	if err := s.stream.Send(&kctproto.RelayCall{Cancel: number}); err != nil {
 		s.close()
 	}
 	if ctx.Err() == context.Canceled {
@@ -107,6 +110,10 @@
 	c.mu.Lock()
 	s := c.sessions[via.ID]
 	fresh := s == nil || s.isEnded()
+	if fresh && c.closed {
+		c.mu.Unlock()
+		return nil, eris.Wrap(errNotSent, "this entry is ending")
+	}
 	if fresh {
 		s = &session{
 			opened: make(chan struct{}), ended: make(chan struct{}),
@@ -131,19 +138,10 @@
 	defer close(s.opened)
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).Dial("tcp", via.Relay.String())
 	if err == nil {
-		s.mux, err = yamux.Client(conn, muxConfig())
-	}
-	if err == nil {
-		var opened net.Conn
-		if opened, err = s.mux.Open(); err == nil {
-			s.stream = newStream(opened)
-		}
+		s.stream, err = kctmux.Open(conn, streamOptions)
 	}
 	if err != nil {
 		s.err = eris.Wrapf(errNotSent, "relay session with %s: %v", via.ID, err)
-		if conn != nil {
-			conn.Close()
-		}
 		close(s.ended)
 		klog.InfoS("relay not opened", "entry", via.ID, "err", err)
 		return
@@ -167,8 +165,8 @@
 }
 
 func (s *session) close() {
-	if s.mux != nil {
-		s.mux.Close()
+	if s.stream != nil {
+		s.stream.Close()
 	}
 }
 
@@ -176,7 +174,7 @@
 func (s *session) read() error {
 	for {
 		var r kctproto.RelayResult
-		if err := s.stream.receive(&r); err != nil {
+		if err := s.stream.Receive(&r); err != nil {
 			return err
 		}
 		s.mu.Lock()
--- a/io/kctrelay/server.go
+++ b/io/kctrelay/server.go
@@ -2,18 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctmux"
 	"kingcupturn/io/kctproto"
 )
 
@@ -34,60 +32,19 @@
 
 // Start listens until the context ends; the channel closes when all attempts have ended.
 func (s *Server) Start(ctx context.Context) (<-chan struct{}, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.address.String())
-	if err != nil {
-		return nil, eris.Wrapf(kctport.ErrUnavailable, "listen for relays at %s: %v", s.address, err)
-	}
-	context.AfterFunc(ctx, func() { l.Close() })
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.accept(ctx, l)
-	}()
-	return done, nil
+	return kctmux.Serve(ctx, "relays", s.address, streamOptions, s.serve)
 }
 
-func (s *Server) accept(ctx context.Context, l net.Listener) {
-	var sessions sync.WaitGroup
-	defer sessions.Wait()
-	for {
-		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			klog.InfoS("relay not accepted", "err", err)
-			continue
-		}
-		sessions.Go(func() { s.serve(ctx, conn) })
-	}
-}
-
-// serve handles one entry until its session ends.
-func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	mux, err := yamux.Server(conn, muxConfig())
-	if err != nil {
-		conn.Close()
-		klog.InfoS("relay session not opened", "peer", conn.RemoteAddr(), "err", err)
-		return
-	}
-	defer mux.Close()
-	release := context.AfterFunc(ctx, func() { mux.Close() })
-	defer release()
-	accepted, err := mux.AcceptStream()
-	if err != nil {
-		klog.V(1).InfoS("relay stream not opened", "peer", conn.RemoteAddr(), "err", err)
-		return
-	}
-	served := &asker{server: s, stream: newStream(accepted), messages: map[uint64]*kctport.Message{}, cancels: map[uint64]context.CancelFunc{}}
-	err = served.read(ctx)
-	klog.V(1).InfoS("relay session ended", "peer", conn.RemoteAddr(), "err", err)
+// serve handles one entry until its stream ends.
+func (s *Server) serve(ctx context.Context, st *kctmux.Stream) error {
+	a := &asker{server: s, stream: st, messages: map[uint64]*kctport.Message{}, cancels: map[uint64]context.CancelFunc{}}
+	return a.read(ctx)
 }
 
 // asker is one entry that asks for attempts.
 type asker struct {
 	server *Server
-	stream *stream
+	stream *kctmux.Stream
 	// messages are those of the reading goroutine alone.
 	messages map[uint64]*kctport.Message
 
@@ -103,7 +60,7 @@
 	defer stop()
 	for {
 		var call kctproto.RelayCall
-		if err := a.stream.receive(&call); err != nil {
+		if err := a.stream.Receive(&call); err != nil {
 			return err
 		}
 		now := a.server.timer.Now()
@@ -154,7 +111,7 @@
 				Service: kctport.ServiceName(send.GetService()), Endpoint: kctport.InstanceID(send.GetEndpoint()), Message: message, Deadline: deadline,
 			})
 		}
-		if err := a.stream.send(encodeResult(number, r, err)); err != nil {
+		if err := a.stream.Send(encodeResult(number, r, err)); err != nil {
 			klog.V(1).InfoS("relayed answer not written", "err", err)
 			a.stream.Close()
 		}
--- a/io/kctrelay/wire.go
+++ b/io/kctrelay/wire.go
@@ -1,34 +1,26 @@
 package kctrelay
 
 import (
-	"bufio"
 	"context"
 	"errors"
-	"net"
-	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/rotisserie/eris"
-	"google.golang.org/protobuf/encoding/protodelim"
-	"google.golang.org/protobuf/proto"
 
 	kctport "kingcupturn"
-	"kingcupturn/io/kctpeer"
+	"kingcupturn/io/kctmux"
 	"kingcupturn/io/kctproto"
 )
 
 const (
-	// writeTimeout bounds a write to an entry that doesn't read.
-	writeTimeout = time.Second
 	// dialTimeout bounds a new connection; entries are a few milliseconds apart.
 	dialTimeout = 200 * time.Millisecond
 	// keepAlive is how often an open session is probed: a connection may go silent without an end.
 	keepAlive = 500 * time.Millisecond
-	// maxMessage bounds a message in bytes; bodies of callers and endpoints are far smaller.
-	maxMessage = 32 << 20
 )
 
+var streamOptions = kctmux.Options{KeepAlive: keepAlive}
+
 var (
 	// errNotSent means that the attempt has not left.
 	errNotSent = errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable)
@@ -36,47 +28,6 @@
 	errLost = errors.Join(kctport.ErrReset, kctport.ErrUnavailable)
 )
 
-func muxConfig() *yamux.Config {
-	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = keepAlive
-	c.ConnectionWriteTimeout = writeTimeout
-	c.StreamOpenTimeout = 0
-	c.LogOutput = nil
-	c.Logger = kctpeer.MuxLogger{}
-	return c
-}
-
-// stream reads and writes messages with their length in front; several goroutines may write.
-type stream struct {
-	net.Conn
-	reader *bufio.Reader
-	mu     sync.Mutex
-}
-
-func newStream(c net.Conn) *stream {
-	return &stream{Conn: c, reader: bufio.NewReader(c)}
-}
-
-func (s *stream) send(m proto.Message) error {
-	return s.sendMade(func() proto.Message { return m })
-}
-
-// sendMade makes a message while nothing else can be written, so that messages that build on one another keep their order.
-func (s *stream) sendMade(build func() proto.Message) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	m := build()
-	if err := s.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	_, err := protodelim.MarshalTo(s.Conn, m)
-	return err
-}
-
-func (s *stream) receive(m proto.Message) error {
-	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(s.reader, m)
-}
-
 func encodeMessage(number uint64, m *kctport.Message, left time.Duration) *kctproto.RelayMessage {
 	out := &kctproto.RelayMessage{
 		Number: number, Id: m.ID, Method: m.Method, Target: m.Target, Host: m.Host, Body: m.Body, Left: int64(left),
