Tell an endpoint that can't be reached from an entry that doesn't relay

Cause: an attempt whose endpoint refused the connection came back from the other entry as not sent, which made the asking entry leave that entry alone for 2 s and dial the dead endpoint itself. A record that one of the two entries didn't know yet had the same effect.

Change: an entry that doesn't make an attempt says so (ErrDeclined), and the attempt goes straight without a rest; an endpoint out of reach is returned to the forwarder, which picks another one at no charge; only a lost session rests.

Found by reading. TestWays has a row for each and failed before.

--- a/core/kctpath/path.go
+++ b/core/kctpath/path.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// Exchange sends an attempt by the way that costs least. What an entry has not sent goes straight; the repeat of an attempt always does,
-// so that one entry that is silent can't hold up both.
+// Exchange sends an attempt by the way that costs least. What an entry has not sent for reasons of its own goes straight, while an endpoint
+// that can't be reached from its own zone is left to the caller; repeats always go straight, so that a silent entry can't hold up both attempts.
 func (p *Path) Exchange(ctx context.Context, server *kctport.Server, m *kctport.Message, o kctport.ExchangeOptions) (kctport.Response, error) {
 	if !o.Part || o.Repeat || server.Zone == p.zone {
 		return p.direct.Exchange(ctx, server, m, o)
@@ -51,7 +51,9 @@
 	switch {
 	case err == nil || ctx.Err() != nil:
 		return r, err
-	case errors.Is(err, kctport.ErrNotRun):
+	case errors.Is(err, kctport.ErrDeclined):
+		return p.direct.Exchange(ctx, server, m, o)
+	case errors.Is(err, kctport.ErrNotRun) && errors.Is(err, kctport.ErrUnavailable):
 		p.rest(via.ID)
 		return p.direct.Exchange(ctx, server, m, o)
 	case errors.Is(err, kctport.ErrUnavailable):
--- a/core/kctpath/path_test.go
+++ b/core/kctpath/path_test.go
@@ -65,7 +65,9 @@
 			{"zone without a relay", "c", part, nil, 1, 0, nil},
 			{"other zone", "b", part, nil, 0, 1, nil},
 			{"endpoint failed", "b", part, kctport.ErrReset, 0, 1, kctport.ErrReset},
-			{"not sent", "b", part, errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable), 1, 1, nil},
+			{"endpoint out of reach", "b", part, kctport.ErrNotRun, 0, 1, kctport.ErrNotRun},
+			{"declined", "b", part, errors.Join(kctport.ErrNotRun, kctport.ErrDeclined), 1, 1, nil},
+			{"no session", "b", part, errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable), 1, 1, nil},
 			{"the other entry failed", "b", part, errors.Join(kctport.ErrReset, kctport.ErrUnavailable), 0, 1, kctport.ErrReset},
 			{"all entries rest", "b", part, nil, 1, 0, nil},
 		} {
@@ -108,7 +110,7 @@
 	} {
 		w.direct = 0
 		_, err := NewServer(picture{c.fleet}, w).Relay(t.Context(), kctport.RelayAttempt{Service: "s", Endpoint: c.endpoint})
-		if w.direct != c.sent || errors.Is(err, kctport.ErrNotRun) != (c.sent == 0) {
+		if w.direct != c.sent || errors.Is(err, kctport.ErrDeclined) != (c.sent == 0) {
 			t.Errorf("%s: %d sent, %v", name, w.direct, err)
 		}
 	}
--- a/core/kctpath/serve.go
+++ b/core/kctpath/serve.go
@@ -22,11 +22,11 @@
 	return &Server{fleets: fleets, direct: direct}
 }
 
-// Relay makes one attempt at an endpoint that this entry knows too; ErrNotRun means that nothing was sent.
+// Relay makes one attempt at an endpoint that this entry knows too; ErrDeclined means that it doesn't.
 func (s *Server) Relay(ctx context.Context, a kctport.RelayAttempt) (kctport.Response, error) {
 	fleet := s.fleets.Fleet()
 	if fleet.Rules == nil || fleet.Draining {
-		return kctport.Response{}, eris.Wrap(kctport.ErrNotRun, "this entry is not ready")
+		return kctport.Response{}, eris.Wrap(kctport.ErrDeclined, "this entry is not ready")
 	}
 	for _, f := range fleet.Servers[a.Service] {
 		if f.ID != a.Endpoint {
@@ -36,5 +36,5 @@
 			Deadline: a.Deadline, Connections: kctbalance.Connections(fleet, a.Service),
 		})
 	}
-	return kctport.Response{}, eris.Wrapf(kctport.ErrNotRun, "endpoint %s of %s is not known here", a.Endpoint, a.Service)
+	return kctport.Response{}, eris.Wrapf(kctport.ErrDeclined, "endpoint %s of %s is not known here", a.Endpoint, a.Service)
 }
--- a/errors.go
+++ b/errors.go
@@ -38,6 +38,8 @@
 	ErrDraining = errors.New("entry draining")
 	// ErrInvalid means that the input is malformed; the text names field, value and what is allowed.
 	ErrInvalid = errors.New("invalid input")
+	// ErrDeclined means that another entry doesn't make an attempt, so that nothing was sent.
+	ErrDeclined = errors.New("attempt declined")
 	// ErrConflict means that a compare-and-swap found another version.
 	ErrConflict = errors.New("version conflict")
 	// ErrNotFound means that a key or lease does not exist.
--- a/forward.go
+++ b/forward.go
@@ -96,7 +96,8 @@
 
 // Relay is the port to entries of other zones that send attempts to endpoints there.
 type Relay interface {
-	// Exchange makes an attempt through an entry; an error wraps ErrNotRun when nothing was sent, and ErrUnavailable when the entry failed.
+	// Exchange makes an attempt through an entry; an error wraps ErrNotRun when nothing was sent, and besides ErrDeclined or ErrUnavailable
+	// when that is because of the entry and not of the endpoint.
 	Exchange(ctx context.Context, via EntryRecord, server *Server, message *Message, options ExchangeOptions) (Response, error)
 }
 
@@ -111,6 +112,7 @@
 
 // RelayHandler makes the attempts that other entries ask for; the relay adapter calls it.
 type RelayHandler interface {
+	// Relay makes an attempt; ErrDeclined means that this entry doesn't, whatever the endpoint's state.
 	Relay(ctx context.Context, attempt RelayAttempt) (Response, error)
 }
 
--- a/io/kctrelay/relay_test.go
+++ b/io/kctrelay/relay_test.go
@@ -40,6 +40,8 @@
 		return kctport.Response{}, ctx.Err()
 	case "unknown":
 		return kctport.Response{}, kctport.ErrNotRun
+	case "declined":
+		return kctport.Response{}, kctport.ErrDeclined
 	case "reset":
 		return kctport.Response{}, kctport.ErrReset
 	case "mismatch":
@@ -122,10 +124,10 @@
 	}
 	group.Wait()
 	for endpoint, want := range map[kctport.InstanceID]error{
-		"unknown": kctport.ErrNotRun, "reset": kctport.ErrReset, "mismatch": kctport.ErrMismatch, "late": kctport.ErrTimeout,
+		"unknown": kctport.ErrNotRun, "declined": kctport.ErrDeclined, "reset": kctport.ErrReset, "mismatch": kctport.ErrMismatch, "late": kctport.ErrTimeout,
 	} {
 		_, err := f.ask(t.Context(), m, endpoint)
-		if !errors.Is(err, want) || want != kctport.ErrNotRun && errors.Is(err, kctport.ErrNotRun) {
+		if !errors.Is(err, want) || errors.Is(err, kctport.ErrNotRun) != (endpoint == "unknown" || endpoint == "declined") || errors.Is(err, kctport.ErrUnavailable) {
 			t.Errorf("%s: %v, want %v", endpoint, err, want)
 		}
 	}
--- a/io/kctrelay/server.go
+++ b/io/kctrelay/server.go
@@ -105,7 +105,7 @@
 	return func() {
 		defer a.end(number, cancel)
 		var r kctport.Response
-		err := error(eris.Wrap(kctport.ErrNotRun, "the message is unknown or too many attempts are under way"))
+		err := error(eris.Wrap(kctport.ErrDeclined, "the message is unknown or too many attempts are under way"))
 		if message != nil && !full {
 			r, err = a.server.handler.Relay(ctx, kctport.RelayAttempt{
 				Service: kctport.ServiceName(send.GetService()), Endpoint: kctport.InstanceID(send.GetEndpoint()), Message: message, Deadline: deadline,
--- a/io/kctrelay/wire.go
+++ b/io/kctrelay/wire.go
@@ -66,6 +66,8 @@
 
 func failureOf(err error) kctproto.RelayFailure {
 	switch {
+	case errors.Is(err, kctport.ErrDeclined):
+		return kctproto.RelayFailure_RELAY_FAILURE_DECLINED
 	case errors.Is(err, kctport.ErrNotRun):
 		return kctproto.RelayFailure_RELAY_FAILURE_NOT_SENT
 	case errors.Is(err, kctport.ErrTimeout), errors.Is(err, context.DeadlineExceeded):
@@ -79,6 +81,8 @@
 func decodeResult(m *kctproto.RelayResult) (kctport.Response, error) {
 	switch m.GetFailure() {
 	case kctproto.RelayFailure_RELAY_FAILURE_NONE:
+	case kctproto.RelayFailure_RELAY_FAILURE_DECLINED:
+		return kctport.Response{}, eris.Wrapf(errors.Join(kctport.ErrDeclined, kctport.ErrNotRun), "relayed: %s", m.GetDetail())
 	case kctproto.RelayFailure_RELAY_FAILURE_NOT_SENT:
 		return kctport.Response{}, eris.Wrapf(kctport.ErrNotRun, "relayed: %s", m.GetDetail())
 	case kctproto.RelayFailure_RELAY_FAILURE_TIMEOUT:
