--- a/core/kctpath/path_test.go
+++ b/core/kctpath/path_test.go
@@ -43,15 +43,17 @@
 func TestWays(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := &ways{via: map[kctport.InstanceID]int{}}
-		fleet := &kctport.Fleet{Active: []kctport.EntryRecord{entry("self", "a"), entry("b1", "b"), entry("b2", "b"), {ID: "c1", Zone: "c"}}}
+		home := []*kctport.FleetServer{{Server: kctport.Server{ID: "h", Service: "home", Zone: "a"}}}
+		fleet := &kctport.Fleet{Servers: map[kctport.ServiceName][]*kctport.FleetServer{"home": home}, Active: []kctport.EntryRecord{entry("self", "a"), entry("b1", "b"), entry("b2", "b"), {ID: "c1", Zone: "c"}}}
 		p := New(entry("self", "a"), picture{fleet}, w, relayed{w}, kcttimer.New())
-		send := func(zone kctport.Zone, o kctport.ExchangeOptions) error {
-			_, err := p.Exchange(t.Context(), &kctport.Server{Zone: zone}, &kctport.Message{}, o)
+		send := func(service kctport.ServiceName, zone kctport.Zone, o kctport.ExchangeOptions) error {
+			_, err := p.Exchange(t.Context(), &kctport.Server{Service: service, Zone: zone}, &kctport.Message{}, o)
 			return err
 		}
 		part := kctport.ExchangeOptions{Part: true}
 		for _, c := range []struct {
 			name    string
+			service kctport.ServiceName
 			zone    kctport.Zone
 			options kctport.ExchangeOptions
 			failure error
@@ -59,21 +61,22 @@
 			relays  int
 			want    error
 		}{
-			{"own zone", "a", part, nil, 1, 0, nil},
-			{"request that isn't merged", "b", kctport.ExchangeOptions{}, nil, 1, 0, nil},
-			{"repeat", "b", kctport.ExchangeOptions{Part: true, Repeat: true}, nil, 1, 0, nil},
-			{"zone without a relay", "c", part, nil, 1, 0, nil},
-			{"other zone", "b", part, nil, 0, 1, nil},
-			{"endpoint failed", "b", part, kctport.ErrReset, 0, 1, kctport.ErrReset},
-			{"endpoint out of reach", "b", part, kctport.ErrNotRun, 0, 1, kctport.ErrNotRun},
-			{"declined", "b", part, errors.Join(kctport.ErrNotRun, kctport.ErrDeclined), 1, 1, nil},
-			{"no session", "b", part, errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable), 1, 1, nil},
-			{"the other entry failed", "b", part, errors.Join(kctport.ErrReset, kctport.ErrUnavailable), 0, 1, kctport.ErrReset},
-			{"all entries rest", "b", part, nil, 1, 0, nil},
+			{"own zone", "s", "a", part, nil, 1, 0, nil},
+			{"request that isn't merged", "s", "b", kctport.ExchangeOptions{}, nil, 1, 0, nil},
+			{"endpoint of the service at home", "home", "b", part, nil, 1, 0, nil},
+			{"repeat", "s", "b", kctport.ExchangeOptions{Part: true, Repeat: true}, nil, 1, 0, nil},
+			{"zone without a relay", "s", "c", part, nil, 1, 0, nil},
+			{"other zone", "s", "b", part, nil, 0, 1, nil},
+			{"endpoint failed", "s", "b", part, kctport.ErrReset, 0, 1, kctport.ErrReset},
+			{"endpoint out of reach", "s", "b", part, kctport.ErrNotRun, 0, 1, kctport.ErrNotRun},
+			{"declined", "s", "b", part, errors.Join(kctport.ErrNotRun, kctport.ErrDeclined), 1, 1, nil},
+			{"no session", "s", "b", part, errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable), 1, 1, nil},
+			{"the other entry failed", "s", "b", part, errors.Join(kctport.ErrReset, kctport.ErrUnavailable), 0, 1, kctport.ErrReset},
+			{"all entries rest", "s", "b", part, nil, 1, 0, nil},
 		} {
 			w.direct, w.failure = 0, c.failure
 			clear(w.via)
-			err := send(c.zone, c.options)
+			err := send(c.service, c.zone, c.options)
 			if w.direct != c.direct || w.via["b1"]+w.via["b2"] != c.relays || !errors.Is(err, c.want) {
 				t.Errorf("%s: %d straight, %v relayed, %v", c.name, w.direct, w.via, err)
 			}
@@ -82,7 +85,7 @@
 		w.failure = nil
 		clear(w.via)
 		for range 10 {
-			if err := send("b", part); err != nil {
+			if err := send("s", "b", part); err != nil {
 				t.Error(err)
 			}
 		}
