Log the endpoints of unanswered attempts, and count endpoints kept after their records lapsed

An event for each unanswered attempt, the endpoint of a shard that is left out, the length of a lost contact in 'store reachable', and the gauge lapsed_endpoints close that. Behaviour is unchanged.

--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -82,6 +82,11 @@
 	start       time.Time
 }
 
+// Started returns when the endpoint was chosen.
+func (a *Attempt) Started() time.Time {
+	return a.start
+}
+
 // Start chooses an endpoint and counts the attempt as pending; nil means that no endpoint may get a request now.
 func (b *Balancer) Start(now time.Time, fleet *kctport.Fleet, criteria Criteria) *Attempt {
 	rule := fleet.Rules.Services[criteria.Service]
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -70,8 +71,10 @@
 func (s *state) recordContact(now time.Time, age time.Duration) []event {
 	at := now.Add(-age)
 	wasUnreachable := s.storeUnreachable || s.lastContact.IsZero()
+	e := event{message: "store reachable"}
 	if s.storeUnreachable {
 		s.storeUnreachable, s.reconnectedAt = false, now
+		e.detail = fmt.Sprintf("last contact %v before", at.Sub(s.lastContact).Round(time.Millisecond))
 	}
 	if at.After(s.lastContact) {
 		s.lastContact = at
@@ -79,7 +82,7 @@
 	if !wasUnreachable {
 		return nil
 	}
-	return []event{{message: "store reachable"}}
+	return []event{e}
 }
 
 // recordOutage records that the store is unreachable; only the first of consecutive failures is logged.
@@ -193,7 +196,7 @@
 // fleet builds the fleet state for traffic.
 func (s *state) fleet(now time.Time) *kctport.Fleet {
 	f := &kctport.Fleet{
-		Rules: s.rules, Endpoints: map[kctport.ServiceName][]*kctport.FleetEndpoint{}, LastContact: s.lastContact, Draining: s.draining,
+		Rules: s.rules, Endpoints: map[kctport.ServiceName][]*kctport.FleetEndpoint{}, LastContact: s.lastContact, Draining: s.draining, Lapsed: len(s.lapsed),
 	}
 	if s.table != nil {
 		f.Table = s.table
--- a/core/kctforward/call.go
+++ b/core/kctforward/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,8 +36,8 @@
 type part struct {
 	service kctport.ServiceName
 	tried   []kctport.InstanceID
-	// pending counts attempts without a result; ran counts attempts that the endpoint ran or may have run.
-	pending int
+	// pending are the attempts without a result; ran counts attempts that the endpoint ran or may have run.
+	pending []*kctbalance.Attempt
 	ran     int
 	// delivered counts attempts that reached an endpoint, whether they ran or not; the first one is not charged to the budget.
 	delivered int
@@ -49,6 +50,19 @@
 	nextAt time.Time
 }
 
+// lastTried returns the endpoint of the latest attempt, empty without one.
+func (p *part) lastTried() kctport.InstanceID {
+	if len(p.tried) == 0 {
+		return ""
+	}
+	return p.tried[len(p.tried)-1]
+}
+
+// finish removes an attempt from the pending ones.
+func (p *part) finish(a *kctbalance.Attempt) {
+	p.pending = slices.DeleteFunc(p.pending, func(other *kctbalance.Attempt) bool { return other == a })
+}
+
 // result is the outcome of one attempt.
 type result struct {
 	part     *part
@@ -128,7 +142,9 @@
 	defer func() { stop() }()
 	callerDone := ctx.Done()
 	for {
-		if reply, ok := c.decide(c.engine.timer.Now()); ok {
+		now := c.engine.timer.Now()
+		if reply, ok := c.decide(now); ok {
+			c.addUnanswered(now, reply)
 			return reply
 		}
 		select {
@@ -152,7 +168,7 @@
 	for c.pending() > 0 {
 		select {
 		case r := <-c.results:
-			r.part.pending--
+			r.part.finish(r.attempt)
 		case <-timer:
 			c.cancel()
 			return failure(statusBadGateway, "caller left")
@@ -164,7 +180,7 @@
 func (c *call) pending() int {
 	n := 0
 	for _, p := range c.parts {
-		n += p.pending
+		n += len(p.pending)
 	}
 	return n
 }
@@ -199,7 +215,7 @@
 		if !c.withdrawAttempt(p, hedgeReserve) {
 			continue
 		}
-		hedge := p.pending > 0
+		hedge := len(p.pending) > 0
 		if c.launch(p) && hedge {
 			c.trace.Hedges++
 		}
@@ -208,10 +224,10 @@
 
 // withdrawAttempt reports whether the part may be sent again, and charges an extra attempt to the budget.
 func (c *call) withdrawAttempt(p *part, reserve float64) bool {
-	if p.ran+p.pending >= c.route.Attempts || p.ran+p.pending > 0 && !c.route.Idempotent {
+	if sent := p.ran + len(p.pending); sent >= c.route.Attempts || sent > 0 && !c.route.Idempotent {
 		return false
 	}
-	return p.delivered+p.pending == 0 || c.engine.budget.Withdraw(p.service, reserve)
+	return p.delivered+len(p.pending) == 0 || c.engine.budget.Withdraw(p.service, reserve)
 }
 
 // launch starts an attempt at the part; when no endpoint is usable, it schedules another selection and returns false.
@@ -219,7 +235,7 @@
 	e := c.engine
 	now := e.timer.Now()
 	a := e.balancer.Start(now, c.fleet, kctbalance.Criteria{Service: p.service, Route: c.route.Name, Tried: p.tried})
-	if a == nil && p.pending == 0 && len(p.tried) > 0 && c.route.Idempotent {
+	if a == nil && len(p.pending) == 0 && len(p.tried) > 0 && c.route.Idempotent {
 		// Every endpoint has been tried; sending to one again is better than giving up.
 		p.tried = p.tried[:0]
 	}
@@ -227,9 +243,9 @@
 		p.nextAt = now.Add(reselectDelay)
 		return false
 	}
-	repeat := p.pending+p.ran+p.refusals > 0
+	repeat := len(p.pending)+p.ran+p.refusals > 0
 	p.tried = append(p.tried, a.Endpoint.ID)
-	p.pending++
+	p.pending = append(p.pending, a)
 	c.trace.Attempts++
 	if c.route.Idempotent {
 		p.nextAt = now.Add(e.delays.Delay(c.route.Name, time.Duration(hedgeShare*float64(c.route.Objective))))
--- a/core/kctforward/decide.go
+++ b/core/kctforward/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 
 	kctport "kingcupturn"
@@ -10,7 +11,7 @@
 // handleResult records the outcome of an attempt and retries the part where the route and the budget allow it.
 func (c *call) handleResult(r result) {
 	p := r.part
-	p.pending--
+	p.finish(r.attempt)
 	now := c.engine.timer.Now()
 	switch {
 	case r.err == nil && r.response.NotRun:
@@ -51,9 +52,23 @@
 	c.trace.add(now, kind, r.part.service, r.attempt.Endpoint.ID, detail)
 }
 
+// addUnanswered names the endpoints that still had the request when it failed, and how long ago and on which state of the fleet they were chosen.
+func (c *call) addUnanswered(now time.Time, reply kctport.Reply) {
+	if reply.Status < statusServerError {
+		return
+	}
+	for _, p := range c.parts {
+		for _, a := range p.pending {
+			detail := fmt.Sprintf("chosen %v ago, %v after the last contact with the store",
+				now.Sub(a.Started()).Round(time.Millisecond), a.Started().Sub(c.fleet.LastContact).Round(time.Millisecond))
+			c.trace.add(now, "attempt unanswered", p.service, a.Endpoint.ID, detail)
+		}
+	}
+}
+
 // handleRefusal retries the part after an endpoint refused it or nothing was sent; beyond refusalsPerPart refusals it is not sent again at once.
 func (c *call) handleRefusal(p *part) {
-	if p.response != nil || p.pending > 0 {
+	if p.response != nil || len(p.pending) > 0 {
 		return
 	}
 	p.refusals++
@@ -66,7 +81,7 @@
 
 // retry sends the part again if the route and the budget allow it; otherwise no attempt at the part follows.
 func (c *call) retry(p *part) {
-	if p.response != nil || p.pending > 0 {
+	if p.response != nil || len(p.pending) > 0 {
 		return
 	}
 	p.nextAt = time.Time{}
@@ -90,11 +105,11 @@
 		return endpointReply(p.response), true
 	case p.failed != nil && p.failed.Status < statusServerError:
 		return endpointReply(p.failed), true
-	case p.pending > 0 && !expired:
+	case len(p.pending) > 0 && !expired:
 		return kctport.Reply{}, false
 	case p.failed != nil:
 		return endpointReply(p.failed), true
-	case p.pending > 0:
+	case len(p.pending) > 0:
 		return failure(statusTimeout, "no answer within the time that the caller or the route allows"), true
 	case p.ran > 0:
 		if expired {
@@ -113,7 +128,7 @@
 		switch {
 		case p.response != nil:
 			answered++
-		case p.pending > 0 || !p.nextAt.IsZero():
+		case len(p.pending) > 0 || !p.nextAt.IsZero():
 			open++
 		}
 	}
@@ -130,7 +145,7 @@
 // tooFewParts returns the reply to a gather below its minimum coverage; it is a refusal only when no endpoint ran a part.
 func (c *call) tooFewParts(expired bool) kctport.Reply {
 	for _, p := range c.parts {
-		if p.ran > 0 || p.pending > 0 {
+		if p.ran > 0 || len(p.pending) > 0 {
 			if expired {
 				return failure(statusTimeout, "too few shards answered in time")
 			}
@@ -147,7 +162,7 @@
 	for _, p := range c.parts {
 		if p.response == nil {
 			r.Missing++
-			c.trace.add(now, "shard left out", p.service, "", "")
+			c.trace.add(now, "shard left out", p.service, p.lastTried(), "")
 			continue
 		}
 		r.Signatures = append(r.Signatures, p.response.Signature)
--- a/core/kctforward/engine_test.go
+++ b/core/kctforward/engine_test.go
@@ -267,3 +267,15 @@
 		}
 	})
 }
+
+// TestUnansweredAttempt guards against a failed request whose log does not name the endpoint that still had it.
+func TestUnansweredAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		hang := slow("s-1", time.Minute)
+		_, trace := forward(t, fleet(single(false), "s"), &endpoints{answers: map[kctport.InstanceID][]answer{"s-1": {hang}, "s-2": {hang}}})
+		if len(trace.Events) != 1 || trace.Events[0].Kind != "attempt unanswered" || trace.Events[0].Endpoint == "" {
+			t.Errorf("events %+v, want the endpoint of the unanswered attempt", trace.Events)
+		}
+		time.Sleep(2 * time.Minute)
+	})
+}
--- a/io/kctmetric/serving.go
+++ b/io/kctmetric/serving.go
@@ -77,6 +77,8 @@
 		}
 		return float64(n)
 	})
+	gauge("lapsed_endpoints", "Endpoints whose records disappeared and that may get work until it is clear whether an outage of the store was the cause.",
+		func(f *kctport.Fleet) float64 { return float64(f.Lapsed) })
 	gauge("store_age_seconds", "Time since the store was last heard, directly or by a reader.", func(f *kctport.Fleet) float64 {
 		return timer.Now().Sub(f.LastContact).Seconds()
 	})
--- a/registry.go
+++ b/registry.go
@@ -111,6 +111,8 @@
 	Table RouteTable
 	// Endpoints holds the endpoints that may get requests.
 	Endpoints map[ServiceName][]*FleetEndpoint
+	// Lapsed is the number of endpoints whose records disappeared and that may still get requests, since an outage of the store may be the cause.
+	Lapsed int
 	// Moves holds the services that move to another version.
 	Moves map[ServiceName]MoveShare
 	// Entries are the entries that accept callers, including this one unless it is draining.
