--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -22,8 +23,9 @@
 	rules       kctport.RulesVersion
 	unavailable bool
 	loads       int
-	// extra holds further records, saved the progress of a move.
+	// extra holds further records, removed the deletions that a watch delivers, saved the progress of a move.
 	extra    []kctport.RegistryChange
+	removed  []kctport.RegistryChange
 	saved    kctport.RegistryChange
 	revision kctport.StoreRevision
 }
@@ -57,7 +59,22 @@
 	case <-time.After(min(wait, 100*time.Millisecond)):
 	}
 	l, err := r.Load(ctx)
-	return l.Changes, after, err
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append(l.Changes, r.removed...), after, err
+}
+
+// remove deletes a record of extra.
+func (r *registry) remove(key string, revision kctport.StoreRevision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, c := range r.extra {
+		if c.Key == key {
+			r.removed = append(r.removed, deletion(c, revision))
+			r.extra = slices.Delete(r.extra, i, i+1)
+			return
+		}
+	}
 }
 
 func (r *registry) Grant(context.Context, time.Duration) (kctport.Lease, error) {
@@ -378,3 +395,51 @@
 		<-done
 	})
 }
+
+// drainBound is the users' bound on requests to an endpoint after its record was removed (drain-ms).
+const drainBound = 3 * time.Second
+
+// TestRecordRemovedWhileReaderIsCutOff guards against requests to an endpoint that has left: an entry whose reader alone had lost the store took
+// that for an outage of the store and kept the removed record.
+func TestRecordRemovedWhileReaderIsCutOff(t *testing.T) {
+	for _, wait := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond, time.Second} {
+		t.Run(wait.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1, extra: []kctport.RegistryChange{endpointChange("stays", 1), endpointChange("leaves", 2)}}
+				links, all, stop := startLinked(t, store, "x", "y", "x")
+				links[0].unavailable.Store(true)
+				time.Sleep(wait)
+				store.remove("servers/leaves", 3)
+				time.Sleep(drainBound)
+				for _, i := range []int{1, 2} {
+					if n := len(all[i].Fleet().Endpoints["s"]); n != 1 {
+						t.Errorf("entry %d has %d endpoints %v after the removal of one, want 1", i, n, drainBound)
+					}
+				}
+				stop()
+			})
+		})
+	}
+}
+
+// startLinked starts an entry in each of the zones, each with its own link to the store; the first of a zone becomes its reader.
+func startLinked(t *testing.T, store *registry, zones ...kctport.Zone) ([]*storeLink, []*Controller, func()) {
+	feeds := &linkedFeeds{sources: map[uint16]*Controller{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var links []*storeLink
+	var all []*Controller
+	var done []<-chan struct{}
+	for i, zone := range zones {
+		link, port := &storeLink{registry: store}, uint16(i+1)
+		c := New(entryRecord(string(rune('a'+i)), zone, port), link, feeds, kcttimer.New(), discardLogger{}, WithSeed(uint64(i)))
+		feeds.sources[port] = c
+		links, all, done = append(links, link), append(all, c), append(done, c.Run(ctx))
+		time.Sleep(time.Second)
+	}
+	return links, all, func() {
+		cancel()
+		for _, d := range done {
+			<-d
+		}
+	}
+}
