A reader in contact throughout shows that the store was not out

Cause: an entry takes the loss of its reader's contact for an outage of the store, in which leases of live endpoints expire. It then keeps removed records for 2.2 s from the moment at which it hears from the store again, also when it hears so from a reader that was in contact all the time and knows the removal for certain. A local loss of contact was treated as a global fact. Change: feeds say for how long the reader has been in contact with the store without interruption. Contact that reaches back to the entry's own last contact rules an outage out: removed records go at once, also those kept before. A gap between two contacts that is longer than a watch and its timeout counts as an interruption, so that a reader that was stopped claims nothing about it. An old reader reports 0, which leaves the old behaviour. Evidence: TestRecordRemovedWhileReaderIsCutOff failed before (2 endpoints 3 s after the removal, want 1) and passes; TestLapsedRecords still holds for a real outage. TestInterruption and TestUnnoticedInterruption are new.

--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -97,15 +97,23 @@
 // firstUpdate returns a full update, or only the store's unreachability while this entry has no state to send.
 func (u *subscription) firstUpdate(s *state, now time.Time) kctport.FeedUpdate {
 	if s.lastContact.IsZero() {
-		return kctport.FeedUpdate{StoreUnreachable: true, StoreAge: s.storeAge(now)}
+		f := s.update(now)
+		f.StoreUnreachable = true
+		return f
 	}
 	u.sentFull = true
 	return s.fullState(now)
 }
 
+// update returns an update without records and members.
+func (s *state) update(now time.Time) kctport.FeedUpdate {
+	return kctport.FeedUpdate{StoreUnreachable: s.storeUnreachable, StoreAge: s.storeAge(now), StoreSteady: s.storeSteady(now)}
+}
+
 // fullState returns all records and members.
 func (s *state) fullState(now time.Time) kctport.FeedUpdate {
-	f := kctport.FeedUpdate{Full: true, StoreUnreachable: s.storeUnreachable, StoreAge: s.storeAge(now), Members: s.members.fullState()}
+	f := s.update(now)
+	f.Full, f.Members = true, s.members.fullState()
 	if s.rules != nil {
 		f.Changes = append(f.Changes, s.rulesChange)
 	}
@@ -123,6 +131,14 @@
 	return now.Sub(s.lastContact)
 }
 
+// storeSteady returns the time since the contact with the store was last interrupted.
+func (s *state) storeSteady(now time.Time) time.Duration {
+	if s.storeUnreachable || s.steadySince.IsZero() {
+		return 0
+	}
+	return now.Sub(s.steadySince)
+}
+
 // broadcast sends subscribers what has changed, or a heartbeat when one is due.
 func (c *Controller) broadcast(s *state, now time.Time) {
 	recordChanges, memberChanges := s.outbox, s.members.outbox
@@ -132,7 +148,8 @@
 		return
 	}
 	c.nextHeartbeat, c.sentUnreachable = now.Add(heartbeatInterval), s.storeUnreachable
-	f := kctport.FeedUpdate{Changes: recordChanges, Members: memberChanges, StoreUnreachable: s.storeUnreachable, StoreAge: s.storeAge(now)}
+	f := s.update(now)
+	f.Changes, f.Members = recordChanges, memberChanges
 	for u := range c.subscribers {
 		g := f
 		if !u.sentFull {
@@ -167,7 +184,7 @@
 	for _, m := range next.Members {
 		superseded[member{m.Origin, m.Entry.ID}] = true
 	}
-	f := kctport.FeedUpdate{Full: old.Full, StoreUnreachable: next.StoreUnreachable, StoreAge: next.StoreAge}
+	f := kctport.FeedUpdate{Full: old.Full, StoreUnreachable: next.StoreUnreachable, StoreAge: next.StoreAge, StoreSteady: next.StoreSteady}
 	for _, c := range old.Changes {
 		if !supersededKeys[c.Key] {
 			f.Changes = append(f.Changes, c)
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -274,9 +274,9 @@
 func (s *state) applyFeedUpdate(now time.Time, f kctport.FeedUpdate) []event {
 	var events []event
 	if f.StoreUnreachable {
-		events = s.recordOutage("the reader can't reach the store")
+		events = s.recordOutage(now, "the reader can't reach the store")
 	} else {
-		events = s.recordContact(now, f.StoreAge)
+		events = s.recordContact(now, now.Add(-f.StoreAge), now.Add(-f.StoreSteady))
 	}
 	if f.Full {
 		if now.Add(-f.StoreAge).Before(s.lastContact.Add(-maxReaderLag)) {
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -13,6 +13,9 @@
 const (
 	// lapseGrace keeps records that disappeared during an outage of the store: live endpoints register again within about 2 s of its return.
 	lapseGrace = 2200 * time.Millisecond
+	// maxContactGap is the longest time between two contacts of a working reader: a watch that returns at its end, and its timeout. A longer one is
+	// an interruption that no call noticed, as in a process that was stopped.
+	maxContactGap = maxWatchWait + time.Second
 	// limitShareRetention is how long a removed entry still counts among those that share fleet-wide limits; it may be running but unreachable.
 	limitShareRetention = 10 * time.Second
 )
@@ -38,11 +41,15 @@
 	table  *kctroutetable.Table
 	// rulesChange is the change that brought the rules in force, for new subscribers.
 	rulesChange kctport.RegistryChange
-	// lastContact is when the store was last reached, reconnectedAt when it was reached again after a failure.
+	// lastContact is when the store was last reached, by this entry or the reader that it follows.
 	lastContact      time.Time
-	reconnectedAt    time.Time
 	storeUnreachable bool
-	members          members
+	// steadySince is the start of the contact without interruption. Between interruptedAt and reconnectedAt nobody is known to have reached the
+	// store, so that it may have been out; reconnectedAt is zero when there is no such time.
+	steadySince   time.Time
+	interruptedAt time.Time
+	reconnectedAt time.Time
+	members       members
 	// outbox holds changes not yet sent to subscribers.
 	outbox []kctport.RegistryChange
 	// lastPresent is when each entry was last known to be a member.
@@ -67,29 +74,51 @@
 	s.assumedShares, s.assumedUntil = shares, now.Add(limitShareRetention)
 }
 
-// recordContact records that the store answered this entry, or the reader that it follows, at now minus age.
-func (s *state) recordContact(now time.Time, age time.Duration) []event {
-	at := now.Add(-age)
-	wasUnreachable := s.storeUnreachable || s.lastContact.IsZero()
+// recordContact records that the store was reached at a time, by this entry or by the reader that it follows, which has been in contact without
+// interruption since steadySince.
+func (s *state) recordContact(now, at, steadySince time.Time) []event {
 	e := event{message: "store reachable"}
-	if s.storeUnreachable {
-		s.storeUnreachable, s.reconnectedAt = false, now
+	wasUnreachable := s.storeUnreachable
+	switch {
+	case s.lastContact.IsZero():
+		s.steadySince, wasUnreachable = steadySince, true
+	case !s.storeUnreachable && at.Sub(s.lastContact) > maxContactGap:
+		s.steadySince = steadySince
+	case s.storeUnreachable:
+		s.reconnectedAt = now
 		e.detail = fmt.Sprintf("last contact %v before", at.Sub(s.lastContact).Round(time.Millisecond))
 	}
+	s.storeUnreachable = false
 	if at.After(s.lastContact) {
 		s.lastContact = at
 	}
+	if !s.reconnectedAt.IsZero() {
+		s.endInterruption(steadySince)
+	}
 	if !wasUnreachable {
 		return nil
 	}
 	return []event{e}
 }
 
+// endInterruption decides whether the store may have been out. A reader that was in contact throughout shows that only this entry's former source
+// had lost the store, and that no lease of a live endpoint expired for that reason.
+func (s *state) endInterruption(steadySince time.Time) {
+	if steadySince.After(s.interruptedAt) {
+		s.steadySince = s.reconnectedAt
+		return
+	}
+	s.reconnectedAt = time.Time{}
+}
+
 // recordOutage records that the store is unreachable; only the first of consecutive failures is logged.
-func (s *state) recordOutage(detail string) []event {
+func (s *state) recordOutage(now time.Time, detail string) []event {
 	if s.storeUnreachable {
 		return nil
 	}
+	if !s.inLapseGrace(now) {
+		s.interruptedAt = s.lastContact
+	}
 	s.storeUnreachable = true
 	return []event{{message: "store unreachable", detail: detail}}
 }
--- a/core/kctfleet/state_test.go
+++ b/core/kctfleet/state_test.go
@@ -30,7 +30,7 @@
 // TestOlderRulesIgnored guards against an older version, a deletion or an unreadable record that replaces the rules in force, whatever its revision.
 func TestOlderRulesIgnored(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, 0)
+	s.recordContact(start, start, start)
 	for _, c := range []kctport.RegistryChange{
 		rules(5, 1), rules(9, 4), rules(7, 3), rules(8, 9), deletion(rules(9, 0), 10),
 		{Kind: kctport.RecordRules, Key: "rules", Revision: 11, Problem: "unreadable"},
@@ -47,15 +47,15 @@
 // that are kept after it.
 func TestLapsedRecords(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, 0)
+	s.recordContact(start, start, start)
 	s.applyFull(start, []kctport.RegistryChange{endpointChange("lives", 1), endpointChange("dies", 2), endpointChange("leaves", 3)})
 	s.apply(start, deletion(endpointChange("leaves", 0), 4))
 	if n := usableEndpoints(s, start); n != 2 {
 		t.Fatalf("%d endpoints, want 2: a record deleted while the store is reachable is removed at once", n)
 	}
-	s.recordOutage("outage")
+	s.recordOutage(start, "outage")
 	reconnected := start.Add(5 * time.Second)
-	s.recordContact(reconnected, 0)
+	s.recordContact(reconnected, reconnected, reconnected)
 	s.applyFull(reconnected, nil)
 	s.expire(reconnected)
 	if n := usableEndpoints(s, reconnected); n != 2 {
@@ -68,10 +68,55 @@
 	}
 }
 
+// TestInterruption guards against a removed record that is kept although the store was in contact with another reader throughout, and against a
+// record that is dropped although the store may have been out.
+func TestInterruption(t *testing.T) {
+	const lost, found = 10 * time.Second, 12 * time.Second
+	for name, c := range map[string]struct {
+		// steady is how long the source that ends the interruption has been in contact; second is that of the next source, if any.
+		steady, second time.Duration
+		usable         int
+	}{
+		"reader in contact throughout":            {found, 0, 1},
+		"reader in contact since the start of it": {found - lost, 0, 1},
+		"reader that lost the store too":          {time.Second, 0, 2},
+		"reader that does not say":                {0, 0, 2},
+		"first one that lost it, then another":    {time.Second, found, 1},
+	} {
+		s := newState(kctport.EntryRecord{ID: "e"})
+		at := start.Add(lost)
+		s.recordContact(at, at, start)
+		s.applyFull(at, []kctport.RegistryChange{endpointChange("stays", 1), endpointChange("leaves", 2)})
+		s.applyFeedUpdate(at.Add(time.Second), kctport.FeedUpdate{StoreUnreachable: true})
+		now := start.Add(found)
+		s.applyFeedUpdate(now, kctport.FeedUpdate{Full: true, StoreSteady: c.steady, Changes: []kctport.RegistryChange{endpointChange("stays", 1)}})
+		if c.second > 0 {
+			s.applyFeedUpdate(now, kctport.FeedUpdate{Full: true, StoreSteady: c.second, Changes: []kctport.RegistryChange{endpointChange("stays", 1)}})
+		}
+		s.expire(now)
+		if n := usableEndpoints(s, now); n != c.usable {
+			t.Errorf("%s: %d endpoints, want %d", name, n, c.usable)
+		}
+	}
+}
+
+// TestUnnoticedInterruption guards against a reader that was stopped during an outage of the store and reports uninterrupted contact.
+func TestUnnoticedInterruption(t *testing.T) {
+	s := newState(kctport.EntryRecord{ID: "e"})
+	s.recordContact(start, start, start)
+	for _, c := range []struct{ after, steady time.Duration }{{2 * time.Second, 2 * time.Second}, {8 * time.Second, 0}, {9 * time.Second, time.Second}} {
+		now := start.Add(c.after)
+		s.recordContact(now, now, now)
+		if got := s.storeSteady(now); got != c.steady {
+			t.Errorf("after %v: steady for %v, want %v", c.after, got, c.steady)
+		}
+	}
+}
+
 // TestOlderRevisionIgnored guards against a page of a complete reading that overwrites a later change from the watch.
 func TestOlderRevisionIgnored(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, 0)
+	s.recordContact(start, start, start)
 	draining := endpointChange("i", 8)
 	draining.Endpoint.Leaving = true
 	s.apply(start, draining)
@@ -84,7 +129,7 @@
 // TestZoneOutOfService guards against traffic to a zone that is out of service or to an endpoint whose record is unreadable.
 func TestZoneOutOfService(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, 0)
+	s.recordContact(start, start, start)
 	out := kctport.RegistryChange{Kind: kctport.RecordZoneOut, Key: "out/a", Zone: "a", Revision: 2}
 	s.apply(start, endpointChange("i", 1))
 	s.apply(start, out)
@@ -105,7 +150,7 @@
 // only that version is left.
 func TestVersionBeforeItsMove(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, 0)
+	s.recordContact(start, start, start)
 	old, fresh := endpointChange("old", 1), endpointChange("new", 2)
 	old.Endpoint.Version, fresh.Endpoint.Version = "v1", "v2"
 	s.apply(start, old)
@@ -123,7 +168,7 @@
 // TestOutdatedFullUpdate guards against newer records that are removed by a full update from a reader that hasn't reached the store for long.
 func TestOutdatedFullUpdate(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, 0)
+	s.recordContact(start, start, start)
 	s.apply(start, endpointChange("new", 9))
 	s.applyFeedUpdate(start, kctport.FeedUpdate{Full: true, Changes: []kctport.RegistryChange{endpointChange("old", 1)}, StoreUnreachable: true, StoreAge: time.Minute})
 	if n := usableEndpoints(s, start); n != 2 {
@@ -140,7 +185,7 @@
 // TestMembers guards against dead entries that stay in the directory, and against live ones that are removed while they change readers.
 func TestMembers(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e", Zone: "a"})
-	s.recordContact(start, 0)
+	s.recordContact(start, start, start)
 	member := func(origin, id string, unsubscribed bool) kctport.FeedMember {
 		return kctport.FeedMember{Origin: kctport.InstanceID(origin), Entry: kctport.EntryRecord{ID: kctport.InstanceID(id), Zone: "a"}, Unsubscribed: unsubscribed}
 	}
--- a/feed.go
+++ b/feed.go
@@ -40,6 +40,8 @@
 	StoreUnreachable bool
 	// StoreAge is the time since the reader's last contact to the store, which at the subscriber is an upper bound.
 	StoreAge time.Duration
+	// StoreSteady is how long the reader has been in contact with the store without interruption, which at the subscriber is a lower bound.
+	StoreSteady time.Duration
 }
 
 // Feed is the port to other entries that are readers of the store.
--- a/io/kctfeed/encoder.go
+++ b/io/kctfeed/encoder.go
@@ -37,7 +37,7 @@
 
 // encodeUpdate encodes an update; on the wire away is StoreUnreachable, age is StoreAge and gone is FeedMember.Unsubscribed.
 func (e *encoder) encodeUpdate(f kctport.FeedUpdate) *kctproto.FeedUpdate {
-	m := &kctproto.FeedUpdate{Full: f.Full, Away: f.StoreUnreachable, Age: int64(f.StoreAge)}
+	m := &kctproto.FeedUpdate{Full: f.Full, Away: f.StoreUnreachable, Age: int64(f.StoreAge), Steady: int64(f.StoreSteady)}
 	for _, c := range f.Changes {
 		m.Records = append(m.Records, e.encodeRecord(c))
 	}
--- a/io/kctfeed/message.go
+++ b/io/kctfeed/message.go
@@ -46,7 +46,9 @@
 }
 
 func decodeUpdate(m *kctproto.FeedUpdate, decode Decoder) (kctport.FeedUpdate, error) {
-	f := kctport.FeedUpdate{Full: m.GetFull(), StoreUnreachable: m.GetAway(), StoreAge: time.Duration(m.GetAge())}
+	f := kctport.FeedUpdate{
+		Full: m.GetFull(), StoreUnreachable: m.GetAway(), StoreAge: time.Duration(m.GetAge()), StoreSteady: time.Duration(m.GetSteady()),
+	}
 	for _, r := range m.GetRecords() {
 		value := r.GetValue()
 		if r.GetCompressed() {
