--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -287,10 +287,26 @@
 	})
 }
 
-// storeLink is one entry's connection to the store, which can be made unavailable separately.
+// storeLink is one entry's connection to the store, which can be made unavailable or silent separately.
 type storeLink struct {
 	*registry
 	unavailable atomic.Bool
+	silent      atomic.Bool
+}
+
+// clientTimeout is the time after which the client of the store ends a call without an answer.
+const clientTimeout = time.Second
+
+// call returns the error of a call that may take as long as its wait; on a silent link it runs into its timeout.
+func (s *storeLink) call(ctx context.Context, wait time.Duration) error {
+	if !s.silent.Load() {
+		return s.err()
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(clientTimeout + wait):
+	}
+	return kctport.ErrUnavailable
 }
 
 func (s *storeLink) err() error {
@@ -302,20 +318,20 @@
 
 func (s *storeLink) Load(ctx context.Context) (kctport.RegistryState, error) {
 	l, err := s.registry.Load(ctx)
-	return l, errors.Join(err, s.err())
+	return l, errors.Join(err, s.call(ctx, 0))
 }
 
 func (s *storeLink) Watch(ctx context.Context, after kctport.StoreRevision, wait time.Duration) ([]kctport.RegistryChange, kctport.StoreRevision, error) {
 	changes, revision, err := s.registry.Watch(ctx, after, wait)
-	return changes, revision, errors.Join(err, s.err())
+	return changes, revision, errors.Join(err, s.call(ctx, wait))
 }
 
 func (s *storeLink) Readers(ctx context.Context) ([]kctport.EntryRecord, error) {
 	readers, err := s.registry.Readers(ctx)
-	return readers, errors.Join(err, s.err())
+	return readers, errors.Join(err, s.call(ctx, 0))
 }
 
-func (s *storeLink) Renew(context.Context, kctport.Lease) error { return s.err() }
+func (s *storeLink) Renew(ctx context.Context, _ kctport.Lease) error { return s.call(ctx, 0) }
 
 // TestReaderWithoutStore guards against entries that stay with a reader which the store refuses while it serves another reader: rules came
 // into force 8 s late there.
@@ -422,6 +438,31 @@
 	}
 }
 
+// TestRecordRemovedWhileReaderHearsNothing guards against requests to an endpoint that has left: a reader whose calls to the store got no answer
+// noticed that 1.9 s later, and its subscribers left it 1.2 s after that.
+func TestRecordRemovedWhileReaderHearsNothing(t *testing.T) {
+	// The cuts fall into different phases of the reader's renewals, which are 0.9 s apart.
+	for phase := range 9 {
+		cut := time.Duration(phase) * 100 * time.Millisecond
+		t.Run(cut.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1, extra: []kctport.RegistryChange{endpointChange("stays", 1), endpointChange("leaves", 2)}}
+				links, all, stop := startLinked(t, store, "x", "y", "x")
+				time.Sleep(cut)
+				links[0].silent.Store(true)
+				store.remove("servers/leaves", 3)
+				time.Sleep(drainBound)
+				for _, i := range []int{1, 2} {
+					if n := len(all[i].Fleet().Endpoints["s"]); n != 1 {
+						t.Errorf("entry %d has %d endpoints %v after the removal of one, want 1", i, n, drainBound)
+					}
+				}
+				stop()
+			})
+		})
+	}
+}
+
 // startLinked starts an entry in each of the zones, each with its own link to the store; the first of a zone becomes its reader.
 func startLinked(t *testing.T, store *registry, zones ...kctport.Zone) ([]*storeLink, []*Controller, func()) {
 	feeds := &linkedFeeds{sources: map[uint16]*Controller{}}
