Leave a reader that has lost the store in time for changes to take effect

What callers would see: requests to an endpoint more than 3 s after its removal, or old rules, at entries that are in touch themselves. Cause: a reader notices a silent cut by a renewal, 0.9 s + 1 s after it began, and its subscribers stayed with it for another 1.2 s. The sum exceeds the 3 s that the users allow. Change: a renewal is bounded by 0.6 s (the store's replies take up to 0.25 s at the slowdown of the site files) and repeated 0.25 s after a failure; subscribers leave 0.5 s after the reader says that it can't reach the store. While no reader can, they change as seldom as before, since each change is a billed call. A renewal that succeeds ends the state of unreachability, so that one lost reply makes nobody leave. Evidence: TestRecordRemovedWhileReaderHearsNothing failed before in 2 of 9 phases of the cut (0.7 and 0.8 s into the renewal interval) and passes in all; TestLostRenewal failed with the shorter waits alone (the subscriber left once).

--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -22,7 +22,9 @@
 	claims      kctport.StoreRevision
 	rules       kctport.RulesVersion
 	unavailable bool
-	loads       int
+	// quiet makes a watch last for its whole wait, as one without changes does.
+	quiet bool
+	loads int
 	// extra holds further records, removed the deletions that a watch delivers, saved the progress of a move.
 	extra    []kctport.RegistryChange
 	removed  []kctport.RegistryChange
@@ -53,10 +55,13 @@
 }
 
 func (r *registry) Watch(ctx context.Context, after kctport.StoreRevision, wait time.Duration) ([]kctport.RegistryChange, kctport.StoreRevision, error) {
+	if !r.quiet {
+		wait = min(wait, 100*time.Millisecond)
+	}
 	select {
 	case <-ctx.Done():
 		return nil, after, ctx.Err()
-	case <-time.After(min(wait, 100*time.Millisecond)):
+	case <-time.After(wait):
 	}
 	l, err := r.Load(ctx)
 	r.mu.Lock()
@@ -148,6 +153,24 @@
 	}
 }
 
+// countingLogger counts messages.
+type countingLogger struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (l *countingLogger) LogChange(message, _, _ string, _ kctport.RulesVersion) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts[message]++
+}
+
+func (l *countingLogger) count(message string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts[message]
+}
+
 type discardLogger struct{}
 
 func (discardLogger) LogChange(string, string, string, kctport.RulesVersion) {}
@@ -463,6 +486,24 @@
 	}
 }
 
+// TestLostRenewal guards against subscribers that leave their reader, each with a billed call and a full update, because the answer to one
+// renewal was lost.
+func TestLostRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1, quiet: true}
+		links, all, stop := startLinked(t, store, "x", "y", "x")
+		time.Sleep(maxWatchWait)
+		links[0].silent.Store(true)
+		time.Sleep(renewInterval)
+		links[0].silent.Store(false)
+		time.Sleep(5 * time.Second)
+		if n := all[2].log.(*countingLogger).count("feed ended"); n != 0 {
+			t.Errorf("the subscriber left its reader %d times after one lost renewal, want 0", n)
+		}
+		stop()
+	})
+}
+
 // startLinked starts an entry in each of the zones, each with its own link to the store; the first of a zone becomes its reader.
 func startLinked(t *testing.T, store *registry, zones ...kctport.Zone) ([]*storeLink, []*Controller, func()) {
 	feeds := &linkedFeeds{sources: map[uint16]*Controller{}}
@@ -472,9 +513,13 @@
 	var done []<-chan struct{}
 	for i, zone := range zones {
 		link, port := &storeLink{registry: store}, uint16(i+1)
-		c := New(entryRecord(string(rune('a'+i)), zone, port), link, feeds, kcttimer.New(), discardLogger{}, WithSeed(uint64(i)))
+		log := &countingLogger{counts: map[string]int{}}
+		c := New(entryRecord(string(rune('a'+i)), zone, port), link, feeds, kcttimer.New(), log, WithSeed(uint64(i)))
 		feeds.sources[port] = c
-		links, all, done = append(links, link), append(all, c), append(done, c.Run(ctx))
+		links, all = append(links, link), append(all, c)
+	}
+	for _, c := range all {
+		done = append(done, c.Run(ctx))
 		time.Sleep(time.Second)
 	}
 	return links, all, func() {
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -15,6 +15,9 @@
 	leaseTTL = 3 * time.Second
 	// renewInterval allows two failed renewals within leaseTTL.
 	renewInterval = 900 * time.Millisecond
+	// renewTimeout bounds a renewal, by which a reader notices first that its calls get no answer. The store replies within 0.25 s at the 60-fold
+	// slowdown of the site files.
+	renewTimeout = 600 * time.Millisecond
 	// revokeTimeout bounds the removal of the reader's record at shutdown.
 	revokeTimeout = 300 * time.Millisecond
 	// startJitter spreads the claims of entries that start together; each attempt is two billed calls.
@@ -28,8 +31,11 @@
 	shortCallTimeout = 400 * time.Millisecond
 	// aloneTimeout is how long an entry that reaches no reader follows the store itself before it tries the readers again.
 	aloneTimeout = 3 * time.Second
-	// readerOutageTimeout is how long a reader may be without the store before its subscribers try another source; rules must be in force within 3 s.
-	readerOutageTimeout = 1200 * time.Millisecond
+	// readerOutageTimeout is how long a reader may report that it can't reach the store before its subscribers try another source. With the time
+	// that the reader takes to notice it, changes take effect within the required 3 s through another reader.
+	readerOutageTimeout = 500 * time.Millisecond
+	// sharedOutageTimeout takes its place while no reader can reach the store, since each change of the source is a billed call of each entry.
+	sharedOutageTimeout = 1200 * time.Millisecond
 	// feedFailureRetention is how long a reader whose feed failed is tried last; its record stays in the store for as long.
 	feedFailureRetention = leaseTTL
 	// maxReaderLag is how much older than this entry's state a reader's may be to count as complete.
@@ -140,12 +146,17 @@
 // renew renews the lease until the lease or the context ends or this entry leaves, and revokes a lease that is still valid.
 func (c *Controller) renew(ctx context.Context, lease kctport.Lease) {
 	renewed := c.timer.Now()
+	var err error
 	for ctx.Err() == nil && !c.leaving.Load() {
-		c.pause(ctx, renewInterval)
-		err := c.registry.Renew(ctx, lease)
+		if err == nil {
+			c.pause(ctx, renewInterval)
+		}
+		err = c.renewOnce(ctx, lease)
 		switch now := c.timer.Now(); {
 		case err == nil:
 			renewed = now
+			// A lost reply to one renewal is not an outage, and the watch may report contact only at the end of its wait.
+			c.update(ctx, func(s *state, now time.Time) []event { return s.recordReachable(now) })
 		case now.Sub(renewed) > leaseTTL:
 			c.log.LogChange("reader's lease not renewed in time", string(c.self.Zone), err.Error(), 0)
 			return
@@ -165,6 +176,12 @@
 	}
 }
 
+func (c *Controller) renewOnce(ctx context.Context, lease kctport.Lease) error {
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	return c.registry.Renew(ctx, lease)
+}
+
 // followStoreAlone follows the store without being a reader, until there is a reader to try or the zone can be claimed, for at most aloneTimeout.
 func (c *Controller) followStoreAlone(ctx context.Context) {
 	c.log.LogChange("following the store alone", string(c.self.ID), "no reader can be reached", 0)
@@ -236,13 +253,17 @@
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
 	usable, readerUnreachable := false, false
+	outageTimeout := readerOutageTimeout
+	if acceptUnreachable {
+		outageTimeout = sharedOutageTimeout
+	}
 	lastContact := c.timer.Now()
 	apply := func(f kctport.FeedUpdate) {
 		now := c.timer.Now()
 		if usable = usable || !f.StoreUnreachable || acceptUnreachable; !f.StoreUnreachable {
 			lastContact = now
 		}
-		if !usable || now.Sub(lastContact) > readerOutageTimeout {
+		if !usable || now.Sub(lastContact) > outageTimeout {
 			// Another reader, or this entry itself, may be able to reach the store.
 			readerUnreachable = true
 			cancel(errChangeSource)
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -101,6 +101,14 @@
 	return []event{e}
 }
 
+// recordReachable records that the store answered this entry, which brings no news of its records.
+func (s *state) recordReachable(now time.Time) []event {
+	if !s.storeUnreachable {
+		return nil
+	}
+	return s.recordContact(now, s.lastContact, now)
+}
+
 // endInterruption decides whether the store may have been out. A reader that was in contact throughout shows that only this entry's former source
 // had lost the store, and that no lease of a live endpoint expired for that reason.
 func (s *state) endInterruption(steadySince time.Time) {
