--- a/core/kctforward/engine_test.go
+++ b/core/kctforward/engine_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -279,3 +280,42 @@
 		time.Sleep(2 * time.Minute)
 	})
 }
+
+// changingFleet is a fleet state that is replaced after a time.
+type changingFleet struct {
+	before, after *kctport.Fleet
+	at            time.Time
+}
+
+func (f *changingFleet) Fleet() *kctport.Fleet {
+	if time.Now().Before(f.at) {
+		return f.before
+	}
+	return f.after
+}
+
+// TestRepeatToLeftEndpoint guards against a request that is sent again to an endpoint that left after the request arrived: a request that may
+// take 4 s reached it later than the users allow, and an endpoint of a zone that was taken out of service likewise.
+func TestRepeatToLeftEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := single(true)
+		route.Timeout, route.Objective, route.Attempts = 4*time.Second, 4*time.Second, 4
+		before, after := fleet(route, "s"), fleet(route, "s")
+		// The first attempt goes to s-1, since s-2 is cold; both leave, and s-3 is new.
+		before.Endpoints["s"][1].ColdUntil = time.Now().Add(time.Hour)
+		after.Endpoints["s"] = after.Endpoints["s"][1:]
+		after.Endpoints["s"][0].ID = "s-3"
+		e := &endpoints{answers: map[kctport.InstanceID][]answer{"s-1": {{after: time.Second, err: kctport.ErrReset}}}}
+		engine := kctforward.NewEngine(&changingFleet{before, after, time.Now().Add(500 * time.Millisecond)}, kcttimer.New(), e, kctforward.Policies{
+			Balancer: kctbalance.New("", 1), Budget: kctbalance.NewBudget(kctbalance.BudgetSettings{Ratio: 0.2, Slack: 100}),
+			Delays: kctbalance.NewHedgeDelays(), Splitter: kctroutetable.NewSplitter(),
+		}, &traces{})
+		now := time.Now()
+		reply := engine.Forward(t.Context(), &kctport.Message{ID: "1", Host: "h", Path: "/a/", Received: now, Deadline: now.Add(4 * time.Second)})
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if want := []kctport.InstanceID{"s-1", "s-3"}; reply.Status != 200 || !slices.Equal(e.calls, want) {
+			t.Errorf("status %d, sent to %v, want 200 and %v", reply.Status, e.calls, want)
+		}
+	})
+}
