Choose the endpoint of each attempt from the current fleet state

What callers would see: a request that may take 4 s reaches an endpoint up to 4 s after it left, or a zone after it was taken out of service. The own interface already picks under the newest view (core/kctquery).

--- a/core/kctforward/call.go
+++ b/core/kctforward/call.go
@@ -13,7 +13,8 @@
 
 // call is a request in progress. Only the goroutine of its caller uses it; attempts send their outcome to results.
 type call struct {
-	engine  *Engine
+	engine *Engine
+	// fleet is the state with which the request began; its rules hold for the whole request.
 	fleet   *kctport.Fleet
 	route   *kctport.Route
 	message *kctport.Message
@@ -234,7 +235,7 @@
 func (c *call) launch(p *part) bool {
 	e := c.engine
 	now := e.timer.Now()
-	a := e.balancer.Start(now, c.fleet, kctbalance.Criteria{Service: p.service, Route: c.route.Name, Tried: p.tried})
+	a := e.balancer.Start(now, c.currentFleet(), kctbalance.Criteria{Service: p.service, Route: c.route.Name, Tried: p.tried})
 	if a == nil && len(p.pending) == 0 && len(p.tried) > 0 && c.route.Idempotent {
 		// Every endpoint has been tried; sending to one again is better than giving up.
 		p.tried = p.tried[:0]
@@ -255,6 +256,17 @@
 	return true
 }
 
+// currentFleet returns the endpoints as they are known now under the rules of the request, since an endpoint may leave while a request lasts.
+func (c *call) currentFleet() *kctport.Fleet {
+	current := c.engine.fleets.Fleet()
+	if current.Rules == c.fleet.Rules {
+		return current
+	}
+	f := *current
+	f.Rules = c.fleet.Rules
+	return &f
+}
+
 // attempt performs one exchange and sends its outcome to results; the attempts' context bounds its duration.
 func (c *call) attempt(p *part, a *kctbalance.Attempt, repeat bool) {
 	defer c.release()
--- a/core/kctforward/decide.go
+++ b/core/kctforward/decide.go
@@ -52,15 +52,14 @@
 	c.trace.add(now, kind, r.part.service, r.attempt.Endpoint.ID, detail)
 }
 
-// addUnanswered names the endpoints that still had the request when it failed, and how long ago and on which state of the fleet they were chosen.
+// addUnanswered names the endpoints that still had the request when it failed, and how long ago they were chosen.
 func (c *call) addUnanswered(now time.Time, reply kctport.Reply) {
 	if reply.Status < statusServerError {
 		return
 	}
 	for _, p := range c.parts {
 		for _, a := range p.pending {
-			detail := fmt.Sprintf("chosen %v ago, %v after the last contact with the store",
-				now.Sub(a.Started()).Round(time.Millisecond), a.Started().Sub(c.fleet.LastContact).Round(time.Millisecond))
+			detail := fmt.Sprintf("chosen %v ago", now.Sub(a.Started()).Round(time.Millisecond))
 			c.trace.add(now, "attempt unanswered", p.service, a.Endpoint.ID, detail)
 		}
 	}
