Ask whether the endpoint is still there just before an attempt is sent

What callers would see: a request reaches an endpoint long after it left, or waits there for a server that is gone. Cause: an attempt is decided and then waits for a free connection, at this entry or at the one that relays it, for as long as its deadline allows (up to 4 s on the users' deployments). Nobody looked again before the first byte was sent. Change: ExchangeOptions.Usable is asked just before the first byte; an endpoint that left ends the attempt as not sent, so that another one is chosen. Evidence: without the checks TestEndpointLeavesBeforeSend (1 attempt ran after the endpoint left), TestEndpointLeavesAtRelay and TestEndpointLeavesWhileAttemptWaits (2 requests reached the endpoint, want 1) fail; they pass with them.

--- a/core/kctforward/call.go
+++ b/core/kctforward/call.go
@@ -274,6 +274,7 @@
 	var sent time.Time
 	r.response, r.err = c.engine.exchanger.Exchange(c.attempts, &a.Endpoint.EndpointRecord, c.message, kctport.ExchangeOptions{
 		Deadline: c.deadline, Connections: a.Connections, NonIdempotent: !c.route.Idempotent, Gathered: len(c.route.Gather) > 0, Repeat: repeat,
+		Usable:     func() bool { return c.engine.fleets.Fleet().Endpoint(p.service, a.Endpoint.ID) != nil },
 		BeforeSend: func() { sent = c.engine.timer.Now() },
 	})
 	c.recordOutcome(a, sent, &r)
--- a/core/kctforward/engine_test.go
+++ b/core/kctforward/engine_test.go
@@ -31,6 +31,8 @@
 	answers map[kctport.InstanceID][]answer
 	calls   []kctport.InstanceID
 	ran     int
+	// wait is how long an attempt waits for a connection.
+	wait time.Duration
 }
 
 func (e *endpoints) Exchange(ctx context.Context, s *kctport.EndpointRecord, _ *kctport.Message, o kctport.ExchangeOptions) (kctport.Response, error) {
@@ -44,6 +46,10 @@
 		}
 	}
 	e.mu.Unlock()
+	time.Sleep(e.wait)
+	if o.Usable != nil && !o.Usable() {
+		return kctport.Response{}, errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable)
+	}
 	o.BeforeSend()
 	select {
 	case <-time.After(a.after):
@@ -319,3 +325,24 @@
 		}
 	})
 }
+
+// TestEndpointLeavesBeforeSend guards against an attempt that is sent to an endpoint which left while the attempt waited for a connection.
+func TestEndpointLeavesBeforeSend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		route := single(true)
+		before, after := fleet(route, "s"), fleet(route, "s")
+		after.Endpoints["s"] = nil
+		e := &endpoints{wait: 200 * time.Millisecond}
+		engine := kctforward.NewEngine(&changingFleet{before, after, time.Now().Add(100 * time.Millisecond)}, kcttimer.New(), e, kctforward.Policies{
+			Balancer: kctbalance.New("", 1), Budget: kctbalance.NewBudget(kctbalance.BudgetSettings{Ratio: 0.2, Slack: 100}),
+			Delays: kctbalance.NewHedgeDelays(), Splitter: kctroutetable.NewSplitter(),
+		}, &traces{})
+		now := time.Now()
+		reply := engine.Forward(t.Context(), &kctport.Message{ID: "1", Host: "h", Path: "/a/", Received: now, Deadline: now.Add(time.Second)})
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if reply.Status != 503 || e.ran != 0 {
+			t.Errorf("status %d, %d attempts ran after the endpoint left; want 503 and 0", reply.Status, e.ran)
+		}
+	})
+}
--- a/core/kctrelaypath/path_test.go
+++ b/core/kctrelaypath/path_test.go
@@ -119,3 +119,35 @@
 		}
 	}
 }
+
+// TestEndpointLeavesAtRelay guards against a relayed attempt that waits at this entry and is sent after the endpoint has left.
+func TestEndpointLeavesAtRelay(t *testing.T) {
+	current := &changingFleet{&kctport.Fleet{
+		Rules:     &kctport.Rules{},
+		Endpoints: map[kctport.ServiceName][]*kctport.FleetEndpoint{"s": {{EndpointRecord: kctport.EndpointRecord{ID: "e", Service: "s"}}}},
+	}}
+	waiting := exchangerFunc(func(o kctport.ExchangeOptions) {
+		if !o.Usable() {
+			t.Error("the endpoint is not usable before it left")
+		}
+		current.fleet = &kctport.Fleet{}
+		if o.Usable() {
+			t.Error("the endpoint is usable after it left")
+		}
+	})
+	if _, err := NewServer(current, waiting).Relay(t.Context(), kctport.RelayAttempt{Service: "s", Endpoint: "e"}); err != nil {
+		t.Error(err)
+	}
+}
+
+type changingFleet struct{ fleet *kctport.Fleet }
+
+func (f *changingFleet) Fleet() *kctport.Fleet { return f.fleet }
+
+// exchangerFunc is an Exchanger that calls itself with the options of each attempt.
+type exchangerFunc func(o kctport.ExchangeOptions)
+
+func (f exchangerFunc) Exchange(_ context.Context, _ *kctport.EndpointRecord, _ *kctport.Message, o kctport.ExchangeOptions) (kctport.Response, error) {
+	f(o)
+	return kctport.Response{}, nil
+}
--- a/core/kctrelaypath/serve.go
+++ b/core/kctrelaypath/serve.go
@@ -28,13 +28,12 @@
 	if fleet.Rules == nil || fleet.Draining {
 		return kctport.Response{}, eris.Wrap(kctport.ErrDeclined, "this entry is not ready")
 	}
-	for _, f := range fleet.Endpoints[a.Service] {
-		if f.ID != a.Endpoint {
-			continue
-		}
-		return s.direct.Exchange(ctx, &f.EndpointRecord, a.Message, kctport.ExchangeOptions{
-			Deadline: a.Deadline, Connections: kctbalance.Connections(fleet, a.Service),
-		})
+	f := fleet.Endpoint(a.Service, a.Endpoint)
+	if f == nil {
+		return kctport.Response{}, eris.Wrapf(kctport.ErrDeclined, "endpoint %s of %s is not known here", a.Endpoint, a.Service)
 	}
-	return kctport.Response{}, eris.Wrapf(kctport.ErrDeclined, "endpoint %s of %s is not known here", a.Endpoint, a.Service)
+	return s.direct.Exchange(ctx, &f.EndpointRecord, a.Message, kctport.ExchangeOptions{
+		Deadline: a.Deadline, Connections: kctbalance.Connections(fleet, a.Service),
+		Usable: func() bool { return s.fleets.Fleet().Endpoint(a.Service, a.Endpoint) != nil },
+	})
 }
--- a/forward.go
+++ b/forward.go
@@ -90,6 +90,9 @@
 	Repeat bool
 	// NonIdempotent selects a connection that the endpoint is unlikely to close, since the request can't be repeated.
 	NonIdempotent bool
+	// Usable is asked just before the first byte of the request is sent; false ends the attempt with ErrNotRun. An attempt may wait for a connection
+	// for as long as its deadline allows, and its endpoint may leave meanwhile. Nil means that the endpoint is usable.
+	Usable func() bool
 	// BeforeSend is called once, just before the first byte of the request is sent.
 	BeforeSend func()
 }
--- a/io/kctegress/client.go
+++ b/io/kctegress/client.go
@@ -69,6 +69,10 @@
 		c.pools.put(endpoint.Address, k)
 		return kctport.Response{}, eris.Wrap(errNotSent, "no time left")
 	}
+	if o.Usable != nil && !o.Usable() {
+		c.pools.put(endpoint.Address, k)
+		return kctport.Response{}, eris.Wrapf(errNotSent, "endpoint %s left while the attempt waited", endpoint.ID)
+	}
 	if o.BeforeSend != nil {
 		o.BeforeSend()
 	}
--- a/io/kctegress/client_test.go
+++ b/io/kctegress/client_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -244,3 +245,38 @@
 		t.Errorf("%d connections were opened, at most 2 are allowed", n)
 	}
 }
+
+// TestEndpointLeavesWhileAttemptWaits guards against a request that waits for a connection and is sent to an endpoint that has left meanwhile.
+func TestEndpointLeavesWhileAttemptWaits(t *testing.T) {
+	arrived, release := make(chan struct{}), make(chan struct{})
+	var served atomic.Int32
+	endpoint := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if served.Add(1) == 1 {
+			close(arrived)
+			<-release
+		}
+		answer(c, r.Header.Get("Id"), "")
+		return true
+	})
+	c := client(t)
+	var left atomic.Bool
+	send := func(id string) error {
+		m := &kctport.Message{ID: id, Method: "GET", Target: "/", Host: "h"}
+		_, err := c.Exchange(context.Background(), endpoint, m, kctport.ExchangeOptions{
+			Deadline: time.Now().Add(2 * time.Second), Connections: 1, Usable: func() bool { return !left.Load() },
+		})
+		return err
+	}
+	first, second := make(chan error, 1), make(chan error, 1)
+	go func() { first <- send("1") }()
+	<-arrived
+	go func() { second <- send("2") }()
+	left.Store(true)
+	close(release)
+	if err := <-first; err != nil {
+		t.Error(err)
+	}
+	if err := <-second; !errors.Is(err, kctport.ErrNotRun) || served.Load() != 1 {
+		t.Errorf("%d requests reached the endpoint, error %v; want 1 and an error that says that the second has not run", served.Load(), err)
+	}
+}
--- a/registry.go
+++ b/registry.go
@@ -131,6 +131,16 @@
 	Draining bool
 }
 
+// Endpoint returns an endpoint that may get requests, nil when it may not.
+func (f *Fleet) Endpoint(service ServiceName, id InstanceID) *FleetEndpoint {
+	for _, e := range f.Endpoints[service] {
+		if e.ID == id {
+			return e
+		}
+	}
+	return nil
+}
+
 // Fleets provides the current fleet state to traffic; it is never nil.
 type Fleets interface {
 	Fleet() *Fleet
