Keep a removed record from coming back through a reader that is behind

What callers would see: an endpoint that left gets requests again when an entry changes to another reader. Cause: a removed record left no trace. A reader that is up to a second behind, or one that keeps the record because it was cut off itself, lists it in its complete update, and the entry took it for a new registration. A lapsed record was even sent on with the revision of its removal. Change: removals leave a tombstone with the store's revision for five minutes; only a later write restores the record. Complete updates name the revision up to which they are complete, so that a record which is newer than the reading is not removed by its absence and no tombstone covers it. A lapsed record keeps its own revision. Evidence: TestRemovedRecordReturns (removed by a change, by a complete reading, written before its removal: 1 endpoint, want 0) and TestLapsedRecordKeepsItsRevision (revision 7, want 2) failed before and pass.

--- a/core/kctfleet/follow.go
+++ b/core/kctfleet/follow.go
@@ -36,7 +36,7 @@
 func (c *Controller) applyLoaded(ctx context.Context, l kctport.RegistryState) {
 	c.update(ctx, func(s *state, now time.Time) []event {
 		events := s.recordContact(now, now, now)
-		return append(events, s.applyFull(now, l.Changes)...)
+		return append(events, s.applyFull(now, l.Changes, l.Revision)...)
 	})
 }
 
@@ -58,6 +58,7 @@
 			for _, change := range changes {
 				events = append(events, s.apply(now, change)...)
 			}
+			s.revision = max(s.revision, revision)
 			return events
 		})
 		if len(changes) > 0 {
--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -107,7 +107,7 @@
 
 // update returns an update without records and members.
 func (s *state) update(now time.Time) kctport.FeedUpdate {
-	return kctport.FeedUpdate{StoreUnreachable: s.storeUnreachable, StoreAge: s.storeAge(now), StoreSteady: s.storeSteady(now)}
+	return kctport.FeedUpdate{StoreUnreachable: s.storeUnreachable, StoreAge: s.storeAge(now), StoreSteady: s.storeSteady(now), Revision: s.revision}
 }
 
 // fullState returns all records and members.
@@ -184,7 +184,8 @@
 	for _, m := range next.Members {
 		superseded[member{m.Origin, m.Entry.ID}] = true
 	}
-	f := kctport.FeedUpdate{Full: old.Full, StoreUnreachable: next.StoreUnreachable, StoreAge: next.StoreAge, StoreSteady: next.StoreSteady}
+	f := next
+	f.Full, f.Changes, f.Members = old.Full, nil, nil
 	for _, c := range old.Changes {
 		if !supersededKeys[c.Key] {
 			f.Changes = append(f.Changes, c)
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -306,7 +306,7 @@
 				events = append(events, s.apply(now, change)...)
 			}
 		} else {
-			events = append(events, s.applyFull(now, f.Changes)...)
+			events = append(events, s.applyFull(now, f.Changes, f.Revision)...)
 		}
 		if s.members.replace(f.Members, func(origin kctport.InstanceID) bool { return origin != s.self.ID }) {
 			events = append(events, event{})
@@ -316,6 +316,7 @@
 	for _, change := range f.Changes {
 		events = append(events, s.apply(now, change)...)
 	}
+	s.revision = max(s.revision, f.Revision)
 	for _, m := range f.Members {
 		if m.Origin != s.self.ID && s.members.set(m) {
 			events = append(events, event{})
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -16,6 +16,8 @@
 	// maxContactGap is the longest time between two contacts of a working reader: a watch that returns at its end, and its timeout. A longer one is
 	// an interruption that no call noticed, as in a process that was stopped.
 	maxContactGap = maxWatchWait + time.Second
+	// tombstoneRetention is longer than a reader with an old state stays in use.
+	tombstoneRetention = 5 * time.Minute
 	// limitShareRetention is how long a removed entry still counts among those that share fleet-wide limits; it may be running but unreachable.
 	limitShareRetention = 10 * time.Second
 )
@@ -25,8 +27,21 @@
 	kctport.RegistryChange
 	// readAt is when the record was read.
 	readAt time.Time
-	// missingSince is when the key was reported deleted during an outage; zero while it is present.
+	// missingSince is when the key was reported deleted during an outage, and removal the revision of that; zero while it is present.
 	missingSince time.Time
+	removal      kctport.StoreRevision
+}
+
+// isNewer reports whether the record, or its removal, is newer than a change; a record that is missing may come back unchanged.
+func (r *record) isNewer(c kctport.RegistryChange) bool {
+	return c.Revision < r.Revision || c.Revision == r.Revision && r.missingSince.IsZero() || c.Revision <= r.removal
+}
+
+// tombstone is a record that was removed.
+type tombstone struct {
+	// removal is the revision of the removal, or that of the complete reading which lacked the record.
+	removal kctport.StoreRevision
+	at      time.Time
 }
 
 // state is the control state; the control goroutine owns it.
@@ -37,8 +52,13 @@
 	moveRecords map[string]*record
 	// lapsed are the records that disappeared during an outage of the store and may be registered again.
 	lapsed map[string]*record
-	rules  *kctport.Rules
-	table  *kctroutetable.Table
+	// tombstones keep a reader that follows behind, or that keeps a lapsed record, from restoring a removed one.
+	tombstones        map[string]tombstone
+	tombstonesChecked time.Time
+	rules             *kctport.Rules
+	table             *kctroutetable.Table
+	// revision is the store's revision up to which all changes have been applied, 0 while it is not known.
+	revision kctport.StoreRevision
 	// rulesChange is the change that brought the rules in force, for new subscribers.
 	rulesChange kctport.RegistryChange
 	// lastContact is when the store was last reached, by this entry or the reader that it follows.
@@ -64,7 +84,8 @@
 
 func newState(self kctport.EntryRecord) *state {
 	return &state{
-		self: self, records: map[string]*record{}, moveRecords: map[string]*record{}, lapsed: map[string]*record{}, lastPresent: map[kctport.InstanceID]time.Time{},
+		self: self, records: map[string]*record{}, moveRecords: map[string]*record{}, lapsed: map[string]*record{},
+		tombstones: map[string]tombstone{}, lastPresent: map[kctport.InstanceID]time.Time{},
 		members: newMembers(self.ID), active: newActiveSet(), mover: newMover(self.ID),
 	}
 }
@@ -136,8 +157,8 @@
 	return s.storeUnreachable || !s.reconnectedAt.IsZero() && now.Before(s.reconnectedAt.Add(lapseGrace))
 }
 
-// applyFull replaces all records by a complete reading; records missing from it are deleted.
-func (s *state) applyFull(now time.Time, changes []kctport.RegistryChange) []event {
+// applyFull replaces all records by a complete reading as of a revision, 0 for an unknown one; older records missing from it are deleted.
+func (s *state) applyFull(now time.Time, changes []kctport.RegistryChange, revision kctport.StoreRevision) []event {
 	var events []event
 	present := make(map[string]bool, len(changes))
 	for _, c := range changes {
@@ -145,11 +166,18 @@
 		events = append(events, s.apply(now, c)...)
 	}
 	for key, r := range s.records {
-		if !present[key] && r.missingSince.IsZero() {
-			deletion := kctport.RegistryChange{Kind: r.Kind, Key: key, Zone: r.Zone, Revision: r.Revision, Deleted: true}
-			events = append(events, s.apply(now, deletion)...)
+		if present[key] || !r.missingSince.IsZero() || revision > 0 && r.Revision > revision {
+			continue
+		}
+		deletion := kctport.RegistryChange{Kind: r.Kind, Key: key, Zone: r.Zone, Revision: max(r.Revision, revision), Deleted: true}
+		events = append(events, s.apply(now, deletion)...)
+		if revision == 0 {
+			// The record may be newer than the reading, so that it may come back unchanged.
+			r.removal = 0
+			delete(s.tombstones, key)
 		}
 	}
+	s.revision = max(s.revision, revision)
 	return events
 }
 
@@ -162,12 +190,13 @@
 		return s.adoptRules(c)
 	}
 	old := s.records[c.Key]
-	if old != nil && (c.Revision < old.Revision || c.Revision == old.Revision && !c.Deleted && old.missingSince.IsZero()) {
-		return nil
-	}
 	if c.Deleted {
 		return s.removeRecord(now, old, c)
 	}
+	if old != nil && old.isNewer(c) || old == nil && c.Revision <= s.tombstones[c.Key].removal {
+		return nil
+	}
+	delete(s.tombstones, c.Key)
 	r := &record{RegistryChange: c, readAt: now}
 	s.records[c.Key] = r
 	delete(s.lapsed, c.Key)
@@ -193,35 +222,58 @@
 
 func (s *state) removeRecord(now time.Time, old *record, c kctport.RegistryChange) []event {
 	if old == nil {
+		s.bury(now, c.Key, c.Revision)
+		return nil
+	}
+	if c.Revision < old.Revision {
 		return nil
 	}
-	s.outbox = append(s.outbox, c)
 	if c.Kind == kctport.RecordEndpoint && s.inLapseGrace(now) {
-		if old.missingSince.IsZero() {
-			old.missingSince = now
-			s.lapsed[c.Key] = old
-			old.Revision = c.Revision
-			return []event{{message: "record lapsed during an outage of the store", key: c.Key}}
+		old.removal = max(old.removal, c.Revision)
+		if !old.missingSince.IsZero() {
+			return nil
 		}
-		return nil
+		old.missingSince = now
+		s.lapsed[c.Key] = old
+		s.outbox = append(s.outbox, c)
+		return []event{{message: "record lapsed during an outage of the store", key: c.Key}}
 	}
-	delete(s.records, c.Key)
-	delete(s.moveRecords, c.Key)
-	delete(s.lapsed, c.Key)
+	s.outbox = append(s.outbox, c)
+	s.drop(now, c.Key, c.Revision)
 	return []event{{message: "record gone", key: c.Key}}
 }
 
-// expire removes lapsed records that were not registered again after an outage, and members and limit shares whose retention has ended.
+// drop removes a record for good.
+func (s *state) drop(now time.Time, key string, removal kctport.StoreRevision) {
+	delete(s.records, key)
+	delete(s.moveRecords, key)
+	delete(s.lapsed, key)
+	s.bury(now, key, removal)
+}
+
+// bury leaves a tombstone.
+func (s *state) bury(now time.Time, key string, removal kctport.StoreRevision) {
+	s.tombstones[key] = tombstone{removal: max(removal, s.tombstones[key].removal), at: now}
+}
+
+// expire removes lapsed records that were not registered again after an outage, and members, limit shares and tombstones whose retention has ended.
 func (s *state) expire(now time.Time) []event {
 	var events []event
 	for key, r := range s.lapsed {
 		if !s.inLapseGrace(now) {
-			delete(s.records, key)
-			delete(s.lapsed, key)
-			s.outbox = append(s.outbox, kctport.RegistryChange{Kind: r.Kind, Key: key, Revision: r.Revision, Deleted: true})
+			s.drop(now, key, max(r.Revision, r.removal))
+			s.outbox = append(s.outbox, kctport.RegistryChange{Kind: r.Kind, Key: key, Revision: max(r.Revision, r.removal), Deleted: true})
 			events = append(events, event{message: "record gone", key: key, detail: "not registered again after the outage of the store"})
 		}
 	}
+	if now.Sub(s.tombstonesChecked) > tombstoneRetention/2 {
+		s.tombstonesChecked = now
+		for key, t := range s.tombstones {
+			if now.Sub(t.at) > tombstoneRetention {
+				delete(s.tombstones, key)
+			}
+		}
+	}
 	for id, at := range s.lastPresent {
 		if now.Sub(at) > limitShareRetention {
 			delete(s.lastPresent, id)
--- a/core/kctfleet/state_test.go
+++ b/core/kctfleet/state_test.go
@@ -37,7 +37,7 @@
 	} {
 		s.apply(start, c)
 	}
-	s.applyFull(start, nil)
+	s.applyFull(start, nil, 0)
 	if f := s.fleet(start); f.Rules == nil || f.Rules.Version != 9 {
 		t.Fatalf("rules %+v, want version 9", f.Rules)
 	}
@@ -48,7 +48,7 @@
 func TestLapsedRecords(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
 	s.recordContact(start, start, start)
-	s.applyFull(start, []kctport.RegistryChange{endpointChange("lives", 1), endpointChange("dies", 2), endpointChange("leaves", 3)})
+	s.applyFull(start, []kctport.RegistryChange{endpointChange("lives", 1), endpointChange("dies", 2), endpointChange("leaves", 3)}, 0)
 	s.apply(start, deletion(endpointChange("leaves", 0), 4))
 	if n := usableEndpoints(s, start); n != 2 {
 		t.Fatalf("%d endpoints, want 2: a record deleted while the store is reachable is removed at once", n)
@@ -56,7 +56,7 @@
 	s.recordOutage(start, "outage")
 	reconnected := start.Add(5 * time.Second)
 	s.recordContact(reconnected, reconnected, reconnected)
-	s.applyFull(reconnected, nil)
+	s.applyFull(reconnected, nil, 0)
 	s.expire(reconnected)
 	if n := usableEndpoints(s, reconnected); n != 2 {
 		t.Fatalf("%d endpoints just after the outage, want 2", n)
@@ -86,7 +86,7 @@
 		s := newState(kctport.EntryRecord{ID: "e"})
 		at := start.Add(lost)
 		s.recordContact(at, at, start)
-		s.applyFull(at, []kctport.RegistryChange{endpointChange("stays", 1), endpointChange("leaves", 2)})
+		s.applyFull(at, []kctport.RegistryChange{endpointChange("stays", 1), endpointChange("leaves", 2)}, 0)
 		s.applyFeedUpdate(at.Add(time.Second), kctport.FeedUpdate{StoreUnreachable: true})
 		now := start.Add(found)
 		s.applyFeedUpdate(now, kctport.FeedUpdate{Full: true, StoreSteady: c.steady, Changes: []kctport.RegistryChange{endpointChange("stays", 1)}})
@@ -100,6 +100,62 @@
 	}
 }
 
+// TestRemovedRecordReturns guards against an endpoint that gets requests again after it left, because a reader that follows behind, or that keeps
+// lapsed records, still lists it.
+func TestRemovedRecordReturns(t *testing.T) {
+	removed := deletion(endpointChange("leaves", 0), 7)
+	reading := func(revision kctport.StoreRevision) func(s *state) {
+		return func(s *state) { s.applyFull(start, nil, revision) }
+	}
+	change := func(s *state) { s.apply(start, removed) }
+	for name, c := range map[string]struct {
+		remove func(s *state)
+		// again is the revision of the record as the other reader lists it.
+		again  kctport.StoreRevision
+		usable int
+	}{
+		"removed by a change":                     {change, 2, 0},
+		"removed by a complete reading":           {reading(5), 2, 0},
+		"written before its removal":              {change, 6, 0},
+		"written before the reading":              {reading(5), 5, 0},
+		"registered again":                        {change, 8, 1},
+		"registered again after a reading":        {reading(5), 6, 1},
+		"missing in a reading that is older":      {reading(1), 2, 1},
+		"missing in a reading of unknown age":     {reading(0), 2, 1},
+		"removed before it was known to be there": {func(s *state) { s.drop(start, "servers/leaves", 0); change(s) }, 2, 0},
+	} {
+		s := newState(kctport.EntryRecord{ID: "e"})
+		s.recordContact(start, start, start)
+		s.apply(start, endpointChange("leaves", 2))
+		c.remove(s)
+		now := start.Add(time.Second)
+		s.applyFeedUpdate(now, kctport.FeedUpdate{Full: true, StoreAge: 1500 * time.Millisecond, Changes: []kctport.RegistryChange{endpointChange("leaves", c.again)}})
+		if n := usableEndpoints(s, now); n != c.usable {
+			t.Errorf("%s: %d endpoints, want %d", name, n, c.usable)
+		}
+	}
+}
+
+// TestLapsedRecordKeepsItsRevision guards against a lapsed record that a reader's subscribers take for a registration after the removal.
+func TestLapsedRecordKeepsItsRevision(t *testing.T) {
+	s := newState(kctport.EntryRecord{ID: "e"})
+	s.recordContact(start, start, start)
+	s.apply(start, endpointChange("lapses", 2))
+	s.recordOutage(start, "outage")
+	s.apply(start, deletion(endpointChange("lapses", 0), 7))
+	if f := s.fullState(start); len(f.Changes) != 1 || f.Changes[0].Revision != 2 {
+		t.Errorf("full update %+v, want the record with revision 2", f.Changes)
+	}
+	s.apply(start, endpointChange("lapses", 6))
+	if s.records["servers/lapses"].missingSince.IsZero() {
+		t.Error("a change from before the removal made the lapsed record valid again")
+	}
+	s.apply(start, endpointChange("lapses", 8))
+	if !s.records["servers/lapses"].missingSince.IsZero() {
+		t.Error("the record still counts as lapsed after it was registered again")
+	}
+}
+
 // TestUnnoticedInterruption guards against a reader that was stopped during an outage of the store and reports uninterrupted contact.
 func TestUnnoticedInterruption(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
--- a/feed.go
+++ b/feed.go
@@ -42,6 +42,8 @@
 	StoreAge time.Duration
 	// StoreSteady is how long the reader has been in contact with the store without interruption, which at the subscriber is a lower bound.
 	StoreSteady time.Duration
+	// Revision is the store's revision up to which the reader has all changes; 0 when not reported.
+	Revision StoreRevision
 }
 
 // Feed is the port to other entries that are readers of the store.
--- a/io/kctfeed/encoder.go
+++ b/io/kctfeed/encoder.go
@@ -37,7 +37,9 @@
 
 // encodeUpdate encodes an update; on the wire away is StoreUnreachable, age is StoreAge and gone is FeedMember.Unsubscribed.
 func (e *encoder) encodeUpdate(f kctport.FeedUpdate) *kctproto.FeedUpdate {
-	m := &kctproto.FeedUpdate{Full: f.Full, Away: f.StoreUnreachable, Age: int64(f.StoreAge), Steady: int64(f.StoreSteady)}
+	m := &kctproto.FeedUpdate{
+		Full: f.Full, Away: f.StoreUnreachable, Age: int64(f.StoreAge), Steady: int64(f.StoreSteady), Revision: uint64(f.Revision),
+	}
 	for _, c := range f.Changes {
 		m.Records = append(m.Records, e.encodeRecord(c))
 	}
--- a/io/kctfeed/feed_test.go
+++ b/io/kctfeed/feed_test.go
@@ -76,7 +76,7 @@
 	member := kctport.EntryRecord{ID: "m", Zone: "z", Caller: address, Peer: address, Leaving: true, Load: 0.3, Cores: 0.192}
 	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{
 		{Full: true, Changes: []kctport.RegistryChange{{Key: "large", Value: large, Revision: 7}}, Members: []kctport.FeedMember{{Origin: "r", Entry: member}}},
-		{Changes: []kctport.RegistryChange{{Key: "small", Value: []byte("v"), Revision: 8}, {Key: "large", Revision: 9, Deleted: true}}, StoreUnreachable: true, StoreAge: time.Minute, StoreSteady: time.Hour},
+		{Changes: []kctport.RegistryChange{{Key: "small", Value: []byte("v"), Revision: 8}, {Key: "large", Revision: 9, Deleted: true}}, StoreUnreachable: true, StoreAge: time.Minute, StoreSteady: time.Hour, Revision: 9},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	served, err := kctfeed.NewServer(address, s).Start(ctx)
@@ -101,7 +101,7 @@
 	if f := got[0]; !f.Full || !bytes.Equal(f.Changes[0].Value, large) || f.Changes[0].Revision != 7 || f.Members[0] != s.updates[0].Members[0] {
 		t.Errorf("first update: full %t, value of %d bytes, members %+v", f.Full, len(f.Changes[0].Value), f.Members)
 	}
-	if f := got[1]; !f.StoreUnreachable || f.StoreAge < time.Minute || f.StoreAge > time.Minute+10*time.Second || f.StoreSteady != time.Hour || string(f.Changes[0].Value) != "v" || !f.Changes[1].Deleted {
+	if f := got[1]; !f.StoreUnreachable || f.StoreAge < time.Minute || f.StoreAge > time.Minute+10*time.Second || f.StoreSteady != time.Hour || f.Revision != 9 || string(f.Changes[0].Value) != "v" || !f.Changes[1].Deleted {
 		t.Errorf("second update %+v", f)
 	}
 	<-s.ended
--- a/io/kctfeed/message.go
+++ b/io/kctfeed/message.go
@@ -48,6 +48,7 @@
 func decodeUpdate(m *kctproto.FeedUpdate, decode Decoder) (kctport.FeedUpdate, error) {
 	f := kctport.FeedUpdate{
 		Full: m.GetFull(), StoreUnreachable: m.GetAway(), StoreAge: time.Duration(m.GetAge()), StoreSteady: time.Duration(m.GetSteady()),
+		Revision: kctport.StoreRevision(m.GetRevision()),
 	}
 	for _, r := range m.GetRecords() {
 		value := r.GetValue()
