--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -22,7 +22,7 @@
 	claims      kctport.StoreRevision
 	rules       kctport.RulesVersion
 	unavailable bool
-	// quiet makes a watch last for its whole wait, as one without changes does.
+	// quiet makes a watch last until a record is removed or its wait ends, instead of 100 ms.
 	quiet bool
 	loads int
 	// extra holds further records, removed the deletions that a watch delivers, saved the progress of a move.
@@ -55,13 +55,17 @@
 }
 
 func (r *registry) Watch(ctx context.Context, after kctport.StoreRevision, wait time.Duration) ([]kctport.RegistryChange, kctport.StoreRevision, error) {
-	if !r.quiet {
-		wait = min(wait, 100*time.Millisecond)
-	}
-	select {
-	case <-ctx.Done():
-		return nil, after, ctx.Err()
-	case <-time.After(wait):
+	const step = 100 * time.Millisecond
+	known := r.removals()
+	for waited := step; ; waited += step {
+		select {
+		case <-ctx.Done():
+			return nil, after, ctx.Err()
+		case <-time.After(min(wait, step)):
+		}
+		if !r.quiet || waited >= wait || r.removals() > known {
+			break
+		}
 	}
 	l, err := r.Load(ctx)
 	r.mu.Lock()
@@ -69,6 +73,12 @@
 	return append(l.Changes, r.removed...), after, err
 }
 
+func (r *registry) removals() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.removed)
+}
+
 // remove deletes a record of extra.
 func (r *registry) remove(key string, revision kctport.StoreRevision) {
 	r.mu.Lock()
@@ -462,22 +472,66 @@
 }
 
 // TestRecordRemovedWhileReaderHearsNothing guards against requests to an endpoint that has left: a reader whose calls to the store got no answer
-// noticed that 1.9 s later, and its subscribers left it 1.2 s after that.
+// noticed that 1.9 s later, and its subscribers left it 1.2 s after that. The cuts fall into different phases of the reader's renewals.
 func TestRecordRemovedWhileReaderHearsNothing(t *testing.T) {
-	// The cuts fall into different phases of the reader's renewals, which are 0.9 s apart.
-	for phase := range 9 {
-		cut := time.Duration(phase) * 100 * time.Millisecond
-		t.Run(cut.String(), func(t *testing.T) {
+	for cut := time.Duration(0); cut < renewInterval; cut += 100 * time.Millisecond {
+		t.Run(cut.String(), func(t *testing.T) { testRemovalDuringCut(t, cut, 0) })
+	}
+}
+
+// TestRecordRemovedWhileAllReadersHearNothing guards against requests to an endpoint that has left: an entry that reads the store itself, since no
+// reader reaches it, took that for an outage of the store and kept the removed record.
+func TestRecordRemovedWhileAllReadersHearNothing(t *testing.T) {
+	for cut := time.Duration(0); cut < renewInterval; cut += 100 * time.Millisecond {
+		t.Run(cut.String(), func(t *testing.T) { testRemovalDuringCut(t, cut, 0, 1) })
+	}
+}
+
+// testRemovalDuringCut cuts off some of the readers 0 and 1 a while after a quiet start, and removes a record at the same moment.
+func testRemovalDuringCut(t *testing.T, after time.Duration, readers ...int) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &registry{
+			readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1, quiet: true,
+			extra: []kctport.RegistryChange{endpointChange("stays", 1), endpointChange("leaves", 2)},
+		}
+		links, all, stop := startLinked(t, store, "x", "y", "x")
+		time.Sleep(maxWatchWait + after)
+		for _, i := range readers {
+			links[i].silent.Store(true)
+		}
+		store.remove("servers/leaves", 3)
+		time.Sleep(drainBound)
+		for i, c := range all {
+			if n := len(c.Fleet().Endpoints["s"]); n != 1 && !slices.Contains(readers, i) {
+				t.Errorf("entry %d has %d endpoints %v after the removal of one, want 1", i, n, drainBound)
+			}
+		}
+		stop()
+	})
+}
+
+// TestOutageOfStore guards against live endpoints that are dropped because their leases expired in an outage of the store.
+func TestOutageOfStore(t *testing.T) {
+	for outage := 2500 * time.Millisecond; outage < 6*time.Second; outage += 500 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1, extra: []kctport.RegistryChange{endpointChange("stays", 1), endpointChange("leaves", 2)}}
+				store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1, quiet: true, extra: []kctport.RegistryChange{endpointChange("lapses", 1)}}
 				links, all, stop := startLinked(t, store, "x", "y", "x")
-				time.Sleep(cut)
-				links[0].silent.Store(true)
-				store.remove("servers/leaves", 3)
-				time.Sleep(drainBound)
-				for _, i := range []int{1, 2} {
-					if n := len(all[i].Fleet().Endpoints["s"]); n != 1 {
-						t.Errorf("entry %d has %d endpoints %v after the removal of one, want 1", i, n, drainBound)
+				time.Sleep(maxWatchWait)
+				for _, l := range links {
+					l.silent.Store(true)
+				}
+				time.Sleep(outage)
+				store.remove("servers/lapses", 3)
+				for _, l := range links {
+					l.silent.Store(false)
+				}
+				for range 19 {
+					time.Sleep(100 * time.Millisecond)
+					for i, c := range all {
+						if n := len(c.Fleet().Endpoints["s"]); n != 1 {
+							t.Fatalf("entry %d has %d endpoints after the outage, want 1", i, n)
+						}
 					}
 				}
 				stop()
