Tell the loss of a reader from an outage by who heard from the store, and when

What callers would see: requests to an endpoint more than 3 s after its record was removed, at entries that are in touch, when all readers lose the store at once. Cause: an entry that then reads the store itself has nobody who was in contact throughout, and took any loss of contact for an outage in which leases expire. Change: feeds also say when the store last answered the reader at all; renewals and the list of readers count as answers, with no news of records. Records of live endpoints expire only after three heartbeats of silence, so that two heartbeats without any answer are needed; a shorter gap drops removed records at once. The interval is the setting heartbeat (the platform's heartbeat-ms). Subscribers leave a reader 0.3 s after it first says that it can't reach the store.

--- a/core/kctfleet/bench_test.go
+++ b/core/kctfleet/bench_test.go
@@ -38,7 +38,7 @@
 // sizedState returns a state with n endpoints in services of 17, and one entry for every 17 endpoints.
 func sizedState(n int) *state {
 	s := newState(kctport.EntryRecord{ID: "e", Zone: "z"})
-	s.recordContact(start, start, start)
+	s.recordContact(start, contact{start, start, start})
 	for i := range n {
 		s.apply(start, sizedEndpoint(i, kctport.StoreRevision(i+1)))
 	}
--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -42,6 +42,8 @@
 	zones   int
 	// watchWait bounds how long a stalled connection to the store can delay changes.
 	watchWait time.Duration
+	// heartbeat is how often endpoints write their records.
+	heartbeat time.Duration
 	// lastClaim is when the source goroutine last tried to become the zone's reader.
 	lastClaim time.Time
 	// feedFailures is when each reader's feed last failed; only the source goroutine uses it.
@@ -86,12 +88,17 @@
 	return func(c *Controller) { c.watchWait = min(maxWatchWait, time.Duration(watchWaitRatio*float64(deadline))) }
 }
 
+// WithHeartbeat sets how often endpoints write their records, from which follows how long an outage must last for records of live ones to expire.
+func WithHeartbeat(heartbeat time.Duration) Option {
+	return func(c *Controller) { c.heartbeat = heartbeat }
+}
+
 // New returns a controller that does nothing before Run.
 func New(self kctport.EntryRecord, registry kctport.Registry, feed kctport.Feed, timer kctport.Timer, log Logger, opts ...Option) *Controller {
 	c := &Controller{
 		self: self, registry: registry, feed: feed, timer: timer, log: log, inbox: make(chan update), stopped: make(chan struct{}),
 		load: func() float64 { return 0 }, random: rand.New(rand.NewPCG(1, 1)), subscribers: map[*subscription]bool{},
-		feedFailures: map[kctport.InstanceID]time.Time{}, watchWait: maxWatchWait, observations: make(chan kctport.Observation, observationBuffer),
+		feedFailures: map[kctport.InstanceID]time.Time{}, watchWait: maxWatchWait, heartbeat: defaultHeartbeat, observations: make(chan kctport.Observation, observationBuffer),
 	}
 	c.fleet.Store(&kctport.Fleet{LimitShares: 1, ActiveShares: 1})
 	c.readers.Store(&[]kctport.EntryRecord{})
@@ -138,6 +145,7 @@
 // control applies updates one at a time and publishes the fleet state after each that changed something.
 func (c *Controller) control(ctx context.Context) {
 	s := newState(c.self)
+	s.lapseTime = lapseHeartbeats * c.heartbeat
 	s.assumeShares(c.zones*minActive, c.timer.Now())
 	ticks := c.timer.Subscribe(ctx, tickInterval)
 	for {
--- a/core/kctfleet/follow.go
+++ b/core/kctfleet/follow.go
@@ -35,7 +35,7 @@
 // applyLoaded applies a complete reading of the store.
 func (c *Controller) applyLoaded(ctx context.Context, l kctport.RegistryState) {
 	c.update(ctx, func(s *state, now time.Time) []event {
-		events := s.recordContact(now, now, now)
+		events := s.recordContact(now, s.ownContact(now, true))
 		return append(events, s.applyFull(now, l.Changes, l.Revision)...)
 	})
 }
@@ -54,7 +54,7 @@
 		}
 		after = revision
 		c.update(ctx, func(s *state, now time.Time) []event {
-			events := s.recordContact(now, now, now)
+			events := s.recordContact(now, s.ownContact(now, true))
 			for _, change := range changes {
 				events = append(events, s.apply(now, change)...)
 			}
@@ -72,6 +72,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	c.update(ctx, func(s *state, now time.Time) []event { return s.recordOutage(now, err.Error()) })
+	c.update(ctx, func(s *state, now time.Time) []event {
+		s.ownSince = time.Time{}
+		return s.recordOutage(now, err.Error())
+	})
 	c.pause(ctx, retryPause)
 }
--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -107,7 +107,10 @@
 
 // update returns an update without records and members.
 func (s *state) update(now time.Time) kctport.FeedUpdate {
-	return kctport.FeedUpdate{StoreUnreachable: s.storeUnreachable, StoreAge: s.storeAge(now), StoreSteady: s.storeSteady(now), Revision: s.revision}
+	return kctport.FeedUpdate{
+		StoreUnreachable: s.storeUnreachable, StoreAge: storeAge(now, s.lastContact), StoreSilence: storeAge(now, s.lastReply),
+		StoreSteady: s.storeSteady(now), Revision: s.revision,
+	}
 }
 
 // fullState returns all records and members.
@@ -123,12 +126,12 @@
 	return f
 }
 
-// storeAge returns the time since the store's last contact, an hour without any.
-func (s *state) storeAge(now time.Time) time.Duration {
-	if s.lastContact.IsZero() {
+// storeAge returns the time since a contact with the store, an hour without any.
+func storeAge(now, contact time.Time) time.Duration {
+	if contact.IsZero() {
 		return time.Hour
 	}
-	return now.Sub(s.lastContact)
+	return now.Sub(contact)
 }
 
 // storeSteady returns the time since the contact with the store was last interrupted.
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -31,9 +31,9 @@
 	shortCallTimeout = 400 * time.Millisecond
 	// aloneTimeout is how long an entry that reaches no reader follows the store itself before it tries the readers again.
 	aloneTimeout = 3 * time.Second
-	// readerOutageTimeout is how long a reader may report that it can't reach the store before its subscribers try another source. With the time
-	// that the reader takes to notice it, changes take effect within the required 3 s through another reader.
-	readerOutageTimeout = 500 * time.Millisecond
+	// readerOutageTimeout is how long a reader may report that it can't reach the store before its subscribers try another source: longer than a
+	// reader takes to repeat a call whose reply was lost, and short enough for changes to take effect within the required 3 s by another source.
+	readerOutageTimeout = 300 * time.Millisecond
 	// sharedOutageTimeout takes its place while no reader can reach the store, since each change of the source is a billed call of each entry.
 	sharedOutageTimeout = 1200 * time.Millisecond
 	// feedFailureRetention is how long a reader whose feed failed is tried last; its record stays in the store for as long.
@@ -95,8 +95,13 @@
 	defer cancel()
 	readers, err := c.registry.Readers(callCtx)
 	if err != nil {
+		c.update(ctx, func(s *state, _ time.Time) []event {
+			s.ownSince = time.Time{}
+			return nil
+		})
 		return *c.readers.Load(), err
 	}
+	c.update(ctx, func(s *state, now time.Time) []event { return s.recordReply(now) })
 	return readers, nil
 }
 
@@ -156,7 +161,7 @@
 		case err == nil:
 			renewed = now
 			// A lost reply to one renewal is not an outage, and the watch may report contact only at the end of its wait.
-			c.update(ctx, func(s *state, now time.Time) []event { return s.recordReachable(now) })
+			c.update(ctx, func(s *state, now time.Time) []event { return s.recordReply(now) })
 		case now.Sub(renewed) > leaseTTL:
 			c.log.LogChange("reader's lease not renewed in time", string(c.self.Zone), err.Error(), 0)
 			return
@@ -257,13 +262,17 @@
 	if acceptUnreachable {
 		outageTimeout = sharedOutageTimeout
 	}
-	lastContact := c.timer.Now()
+	var unreachableSince time.Time
 	apply := func(f kctport.FeedUpdate) {
 		now := c.timer.Now()
-		if usable = usable || !f.StoreUnreachable || acceptUnreachable; !f.StoreUnreachable {
-			lastContact = now
+		usable = usable || !f.StoreUnreachable || acceptUnreachable
+		switch {
+		case !f.StoreUnreachable:
+			unreachableSince = time.Time{}
+		case unreachableSince.IsZero():
+			unreachableSince = now
 		}
-		if !usable || now.Sub(lastContact) > outageTimeout {
+		if !usable || !unreachableSince.IsZero() && now.Sub(unreachableSince) >= outageTimeout {
 			// Another reader, or this entry itself, may be able to reach the store.
 			readerUnreachable = true
 			cancel(errChangeSource)
@@ -297,7 +306,7 @@
 	if f.StoreUnreachable {
 		events = s.recordOutage(now, "the reader can't reach the store")
 	} else {
-		events = s.recordContact(now, now.Add(-f.StoreAge), now.Add(-f.StoreSteady))
+		events = s.recordContact(now, contact{now.Add(-f.StoreAge), now.Add(-f.StoreSilence), now.Add(-f.StoreSteady)})
 	}
 	if f.Full {
 		if now.Add(-f.StoreAge).Before(s.lastContact.Add(-maxReaderLag)) {
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -13,9 +13,11 @@
 const (
 	// lapseGrace keeps records that disappeared during an outage of the store: live endpoints register again within about 2 s of its return.
 	lapseGrace = 2200 * time.Millisecond
-	// maxContactGap is the longest time between two contacts of a working reader: a watch that returns at its end, and its timeout. A longer one is
-	// an interruption that no call noticed, as in a process that was stopped.
-	maxContactGap = maxWatchWait + time.Second
+	// defaultHeartbeat is how often endpoints write their records.
+	defaultHeartbeat = 1200 * time.Millisecond
+	// lapseHeartbeats is the least number of heartbeats that a live endpoint must miss before its record expires: records expire after three
+	// heartbeats of silence, and the last write can be one heartbeat old when an outage begins.
+	lapseHeartbeats = 2
 	// tombstoneRetention is longer than a reader with an old state stays in use.
 	tombstoneRetention = 5 * time.Minute
 	// limitShareRetention is how long a removed entry still counts among those that share fleet-wide limits; it may be running but unreachable.
@@ -61,11 +63,18 @@
 	revision kctport.StoreRevision
 	// rulesChange is the change that brought the rules in force, for new subscribers.
 	rulesChange kctport.RegistryChange
-	// lastContact is when the store was last reached, by this entry or the reader that it follows.
+	// lastContact is when the store's changes were last received, and lastReply when the store last answered at all, to this entry or to the reader
+	// that it follows.
 	lastContact      time.Time
+	lastReply        time.Time
 	storeUnreachable bool
+	// lapseTime is the shortest outage of the store in which the record of a live endpoint can expire.
+	lapseTime time.Duration
+	// ownSince is the start of this entry's own contact with the store without a failed call, and ownReply its last own reply.
+	ownSince time.Time
+	ownReply time.Time
 	// steadySince is the start of the contact without interruption. Between interruptedAt and reconnectedAt nobody is known to have reached the
-	// store, so that it may have been out; reconnectedAt is zero when there is no such time.
+	// store for so long that records may have expired; reconnectedAt is zero when there is no such time.
 	steadySince   time.Time
 	interruptedAt time.Time
 	reconnectedAt time.Time
@@ -84,7 +93,8 @@
 
 func newState(self kctport.EntryRecord) *state {
 	return &state{
-		self: self, records: map[string]*record{}, moveRecords: map[string]*record{}, lapsed: map[string]*record{},
+		lapseTime: lapseHeartbeats * defaultHeartbeat,
+		self:      self, records: map[string]*record{}, moveRecords: map[string]*record{}, lapsed: map[string]*record{},
 		tombstones: map[string]tombstone{}, lastPresent: map[kctport.InstanceID]time.Time{},
 		members: newMembers(self.ID), active: newActiveSet(), mover: newMover(self.ID),
 	}
@@ -95,26 +105,56 @@
 	s.assumedShares, s.assumedUntil = shares, now.Add(limitShareRetention)
 }
 
-// recordContact records that the store was reached at a time, by this entry or by the reader that it follows, which has been in contact without
-// interruption since steadySince.
-func (s *state) recordContact(now, at, steadySince time.Time) []event {
+// contact is a reply of the store to this entry or to the reader that it follows.
+type contact struct {
+	// news is when the store's changes were received, reply when the store answered at all.
+	news  time.Time
+	reply time.Time
+	// steadySince is since when the store has answered without interruption.
+	steadySince time.Time
+}
+
+// ownContact returns the contact of a call of this entry that was answered now; without news it is a call other than a watch or a reading.
+func (s *state) ownContact(now time.Time, news bool) contact {
+	if s.ownSince.IsZero() || now.Sub(s.ownReply) >= s.lapseTime {
+		s.ownSince = now
+	}
+	s.ownReply = now
+	c := contact{news: s.lastContact, reply: now, steadySince: s.ownSince}
+	if news {
+		c.news = now
+	}
+	return c
+}
+
+// recordReply records an answer of the store to this entry that brings no news of its records.
+func (s *state) recordReply(now time.Time) []event {
+	c := s.ownContact(now, false)
+	if s.lastContact.IsZero() {
+		return nil
+	}
+	return s.recordContact(now, c)
+}
+
+// recordContact records a contact with the store.
+func (s *state) recordContact(now time.Time, c contact) []event {
 	e := event{message: "store reachable"}
 	wasUnreachable := s.storeUnreachable
+	silence := c.reply.Sub(s.lastReply)
 	switch {
 	case s.lastContact.IsZero():
-		s.steadySince, wasUnreachable = steadySince, true
-	case !s.storeUnreachable && at.Sub(s.lastContact) > maxContactGap:
-		s.steadySince = steadySince
+		s.steadySince, wasUnreachable = c.steadySince, true
 	case s.storeUnreachable:
 		s.reconnectedAt = now
-		e.detail = fmt.Sprintf("last contact %v before", at.Sub(s.lastContact).Round(time.Millisecond))
+		e.detail = fmt.Sprintf("last reply %v before", silence.Round(time.Millisecond))
+	case silence >= s.lapseTime:
+		// No call failed in that time, as in a process that was stopped.
+		s.steadySince = c.steadySince
 	}
 	s.storeUnreachable = false
-	if at.After(s.lastContact) {
-		s.lastContact = at
-	}
+	s.lastContact, s.lastReply = latest(s.lastContact, c.news), latest(s.lastReply, c.reply)
 	if !s.reconnectedAt.IsZero() {
-		s.endInterruption(steadySince)
+		s.judgeInterruption(c.steadySince)
 	}
 	if !wasUnreachable {
 		return nil
@@ -122,31 +162,30 @@
 	return []event{e}
 }
 
-// recordReachable records that the store answered this entry, which brings no news of its records.
-func (s *state) recordReachable(now time.Time) []event {
-	if !s.storeUnreachable {
-		return nil
-	}
-	return s.recordContact(now, s.lastContact, now)
-}
-
-// endInterruption decides whether the store may have been out. A reader that was in contact throughout shows that only this entry's former source
-// had lost the store, and that no lease of a live endpoint expired for that reason.
-func (s *state) endInterruption(steadySince time.Time) {
-	if steadySince.After(s.interruptedAt) {
+// judgeInterruption decides whether records may have expired while the source was without contact. They can't when another source was in contact
+// by then, or so soon after that a live endpoint would have renewed its record in time: then only the former source had lost the store.
+func (s *state) judgeInterruption(steadySince time.Time) {
+	if steadySince.Sub(s.interruptedAt) >= s.lapseTime {
 		s.steadySince = s.reconnectedAt
 		return
 	}
 	s.reconnectedAt = time.Time{}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // recordOutage records that the store is unreachable; only the first of consecutive failures is logged.
 func (s *state) recordOutage(now time.Time, detail string) []event {
 	if s.storeUnreachable {
 		return nil
 	}
 	if !s.inLapseGrace(now) {
-		s.interruptedAt = s.lastContact
+		s.interruptedAt = s.lastReply
 	}
 	s.storeUnreachable = true
 	return []event{{message: "store unreachable", detail: detail}}
--- a/core/kctfleet/state_test.go
+++ b/core/kctfleet/state_test.go
@@ -30,7 +30,7 @@
 // TestOlderRulesIgnored guards against an older version, a deletion or an unreadable record that replaces the rules in force, whatever its revision.
 func TestOlderRulesIgnored(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, start, start)
+	s.recordContact(start, contact{start, start, start})
 	for _, c := range []kctport.RegistryChange{
 		rules(5, 1), rules(9, 4), rules(7, 3), rules(8, 9), deletion(rules(9, 0), 10),
 		{Kind: kctport.RecordRules, Key: "rules", Revision: 11, Problem: "unreadable"},
@@ -47,7 +47,7 @@
 // that are kept after it.
 func TestLapsedRecords(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, start, start)
+	s.recordContact(start, contact{start, start, start})
 	s.applyFull(start, []kctport.RegistryChange{endpointChange("lives", 1), endpointChange("dies", 2), endpointChange("leaves", 3)}, 0)
 	s.apply(start, deletion(endpointChange("leaves", 0), 4))
 	if n := usableEndpoints(s, start); n != 2 {
@@ -55,7 +55,7 @@
 	}
 	s.recordOutage(start, "outage")
 	reconnected := start.Add(5 * time.Second)
-	s.recordContact(reconnected, reconnected, reconnected)
+	s.recordContact(reconnected, contact{reconnected, reconnected, reconnected})
 	s.applyFull(reconnected, nil, 0)
 	s.expire(reconnected)
 	if n := usableEndpoints(s, reconnected); n != 2 {
@@ -71,7 +71,7 @@
 // TestInterruption guards against a removed record that is kept although the store was in contact with another reader throughout, and against a
 // record that is dropped although the store may have been out.
 func TestInterruption(t *testing.T) {
-	const lost, found = 10 * time.Second, 12 * time.Second
+	const lost, found = 10 * time.Second, 15 * time.Second
 	for name, c := range map[string]struct {
 		// steady is how long the source that ends the interruption has been in contact; second is that of the next source, if any.
 		steady, second time.Duration
@@ -80,12 +80,14 @@
 		"reader in contact throughout":            {found, 0, 1},
 		"reader in contact since the start of it": {found - lost, 0, 1},
 		"reader that lost the store too":          {time.Second, 0, 2},
+		"reader that was back at once":            {3 * time.Second, 0, 1},
+		"reader that was back too late":           {found - lost - lapseHeartbeats*defaultHeartbeat, 0, 2},
 		"reader that does not say":                {0, 0, 2},
 		"first one that lost it, then another":    {time.Second, found, 1},
 	} {
 		s := newState(kctport.EntryRecord{ID: "e"})
 		at := start.Add(lost)
-		s.recordContact(at, at, start)
+		s.recordContact(at, contact{at, at, start})
 		s.applyFull(at, []kctport.RegistryChange{endpointChange("stays", 1), endpointChange("leaves", 2)}, 0)
 		s.applyFeedUpdate(at.Add(time.Second), kctport.FeedUpdate{StoreUnreachable: true})
 		now := start.Add(found)
@@ -125,7 +127,7 @@
 		"removed before it was known to be there": {func(s *state) { s.drop(start, "servers/leaves", 0); change(s) }, 2, 0},
 	} {
 		s := newState(kctport.EntryRecord{ID: "e"})
-		s.recordContact(start, start, start)
+		s.recordContact(start, contact{start, start, start})
 		s.apply(start, endpointChange("leaves", 2))
 		c.remove(s)
 		now := start.Add(time.Second)
@@ -139,7 +141,7 @@
 // TestLapsedRecordKeepsItsRevision guards against a lapsed record that a reader's subscribers take for a registration after the removal.
 func TestLapsedRecordKeepsItsRevision(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, start, start)
+	s.recordContact(start, contact{start, start, start})
 	s.apply(start, endpointChange("lapses", 2))
 	s.recordOutage(start, "outage")
 	s.apply(start, deletion(endpointChange("lapses", 0), 7))
@@ -159,10 +161,10 @@
 // TestUnnoticedInterruption guards against a reader that was stopped during an outage of the store and reports uninterrupted contact.
 func TestUnnoticedInterruption(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, start, start)
+	s.recordContact(start, contact{start, start, start})
 	for _, c := range []struct{ after, steady time.Duration }{{2 * time.Second, 2 * time.Second}, {8 * time.Second, 0}, {9 * time.Second, time.Second}} {
 		now := start.Add(c.after)
-		s.recordContact(now, now, now)
+		s.recordContact(now, contact{now, now, now})
 		if got := s.storeSteady(now); got != c.steady {
 			t.Errorf("after %v: steady for %v, want %v", c.after, got, c.steady)
 		}
@@ -172,7 +174,7 @@
 // TestOlderRevisionIgnored guards against a page of a complete reading that overwrites a later change from the watch.
 func TestOlderRevisionIgnored(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, start, start)
+	s.recordContact(start, contact{start, start, start})
 	draining := endpointChange("i", 8)
 	draining.Endpoint.Leaving = true
 	s.apply(start, draining)
@@ -185,7 +187,7 @@
 // TestZoneOutOfService guards against traffic to a zone that is out of service or to an endpoint whose record is unreadable.
 func TestZoneOutOfService(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, start, start)
+	s.recordContact(start, contact{start, start, start})
 	out := kctport.RegistryChange{Kind: kctport.RecordZoneOut, Key: "out/a", Zone: "a", Revision: 2}
 	s.apply(start, endpointChange("i", 1))
 	s.apply(start, out)
@@ -206,7 +208,7 @@
 // only that version is left.
 func TestVersionBeforeItsMove(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, start, start)
+	s.recordContact(start, contact{start, start, start})
 	old, fresh := endpointChange("old", 1), endpointChange("new", 2)
 	old.Endpoint.Version, fresh.Endpoint.Version = "v1", "v2"
 	s.apply(start, old)
@@ -224,7 +226,7 @@
 // TestOutdatedFullUpdate guards against newer records that are removed by a full update from a reader that hasn't reached the store for long.
 func TestOutdatedFullUpdate(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, start, start)
+	s.recordContact(start, contact{start, start, start})
 	s.apply(start, endpointChange("new", 9))
 	s.applyFeedUpdate(start, kctport.FeedUpdate{Full: true, Changes: []kctport.RegistryChange{endpointChange("old", 1)}, StoreUnreachable: true, StoreAge: time.Minute})
 	if n := usableEndpoints(s, start); n != 2 {
@@ -241,7 +243,7 @@
 // TestMembers guards against dead entries that stay in the directory, and against live ones that are removed while they change readers.
 func TestMembers(t *testing.T) {
 	s := newState(kctport.EntryRecord{ID: "e", Zone: "a"})
-	s.recordContact(start, start, start)
+	s.recordContact(start, contact{start, start, start})
 	member := func(origin, id string, unsubscribed bool) kctport.FeedMember {
 		return kctport.FeedMember{Origin: kctport.InstanceID(origin), Entry: kctport.EntryRecord{ID: kctport.InstanceID(id), Zone: "a"}, Unsubscribed: unsubscribed}
 	}
--- a/feed.go
+++ b/feed.go
@@ -38,8 +38,10 @@
 	Members []FeedMember
 	// StoreUnreachable is set while the reader can't reach the store.
 	StoreUnreachable bool
-	// StoreAge is the time since the reader's last contact to the store, which at the subscriber is an upper bound.
-	StoreAge time.Duration
+	// StoreAge is the time since the reader last received the store's changes, and StoreSilence that since the store last answered it at all; at the
+	// subscriber both are upper bounds.
+	StoreAge     time.Duration
+	StoreSilence time.Duration
 	// StoreSteady is how long the reader has been in contact with the store without interruption, which at the subscriber is a lower bound.
 	StoreSteady time.Duration
 	// Revision is the store's revision up to which the reader has all changes; 0 when not reported.
--- a/io/kctfeed/client.go
+++ b/io/kctfeed/client.go
@@ -84,7 +84,9 @@
 		if err != nil {
 			return err
 		}
-		f.StoreAge += c.timer.Now().Sub(acknowledged)
+		delay := c.timer.Now().Sub(acknowledged)
+		f.StoreAge += delay
+		f.StoreSilence += delay
 		handle(f)
 		acknowledged = c.timer.Now()
 		if err := s.Send(acknowledgement); err != nil {
--- a/io/kctfeed/encoder.go
+++ b/io/kctfeed/encoder.go
@@ -39,6 +39,7 @@
 func (e *encoder) encodeUpdate(f kctport.FeedUpdate) *kctproto.FeedUpdate {
 	m := &kctproto.FeedUpdate{
 		Full: f.Full, Away: f.StoreUnreachable, Age: int64(f.StoreAge), Steady: int64(f.StoreSteady), Revision: uint64(f.Revision),
+		Silence: int64(f.StoreSilence),
 	}
 	for _, c := range f.Changes {
 		m.Records = append(m.Records, e.encodeRecord(c))
--- a/io/kctfeed/message.go
+++ b/io/kctfeed/message.go
@@ -48,7 +48,11 @@
 func decodeUpdate(m *kctproto.FeedUpdate, decode Decoder) (kctport.FeedUpdate, error) {
 	f := kctport.FeedUpdate{
 		Full: m.GetFull(), StoreUnreachable: m.GetAway(), StoreAge: time.Duration(m.GetAge()), StoreSteady: time.Duration(m.GetSteady()),
-		Revision: kctport.StoreRevision(m.GetRevision()),
+		Revision: kctport.StoreRevision(m.GetRevision()), StoreSilence: time.Duration(m.GetSilence()),
+	}
+	if f.StoreSteady == 0 {
+		// The reader doesn't report its silence, or has just reached the store again.
+		f.StoreSilence = f.StoreAge
 	}
 	for _, r := range m.GetRecords() {
 		value := r.GetValue()
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -98,7 +98,7 @@
 	n.usage = kctusage.New(n.timer, settings.Cores)
 	n.control = kctfleet.New(n.self(), kctadapter.NewClient(settings.Store), kctfeed.NewClient(n.timer, kctadapter.Decode), n.timer, log,
 		kctfleet.WithOnPublish(n.updatePolicies), kctfleet.WithLoad(n.usage.Share), kctfleet.WithSeed(seed),
-		kctfleet.WithZones(settings.Zones), kctfleet.WithApplyDeadline(settings.Apply))
+		kctfleet.WithZones(settings.Zones), kctfleet.WithApplyDeadline(settings.Apply), kctfleet.WithHeartbeat(settings.Heartbeat))
 	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
 	n.metrics.RegisterFleet(n.control, n.timer, n.policies.Balancer.Ejected, n.egress.Opened, n.droppedLines)
 	n.relay = kctrelay.NewClient(n.timer)
--- a/io/kctsetting/serve.go
+++ b/io/kctsetting/serve.go
@@ -45,6 +45,8 @@
 	ColdSlack float64
 	// Apply is the longest time until a change of the rules is in force.
 	Apply time.Duration
+	// Heartbeat is about how often endpoints write their records; a record expires after three such times without a write.
+	Heartbeat time.Duration
 }
 
 // The bounds and defaults of the settings; the defaults follow the values in the platform's site files.
@@ -63,6 +65,10 @@
 	minApply      = 500 * time.Millisecond
 	maxApply      = time.Minute
 	defaultApply  = "3s"
+	minHeartbeat  = 100 * time.Millisecond
+	maxHeartbeat  = time.Minute
+	// defaultHeartbeat is the value of the users' deployments.
+	defaultHeartbeat = "1.2s"
 	// defaultOvershoot and defaultColdSlack are the limits for cold endpoints that the users require.
 	defaultOvershoot = 1.5
 	defaultColdSlack = 5
@@ -71,9 +77,9 @@
 
 // ServingValues holds the flag values before validation, so that Check can report all problems at once.
 type ServingValues struct {
-	id, zone, caller, ready, directory, metrics, peer, relay, store, grace, zones, apply string
-	memory                                                                               int
-	ratio, slack, quota, cores, overshoot, coldSlack                                     float64
+	id, zone, caller, ready, directory, metrics, peer, relay, store, grace, zones, apply, heartbeat string
+	memory                                                                                          int
+	ratio, slack, quota, cores, overshoot, coldSlack                                                float64
 }
 
 // RegisterServing adds the settings as flags to a flag set and returns where their values are stored.
@@ -97,6 +103,7 @@
 	set.Float64Var(&v.slack, "slack", defaultSlack, "extra attempts beyond the share in one window, 0 to 1000000")
 	set.StringVar(&v.zones, "zones", "", "names of all availability zones, separated by commas")
 	set.StringVar(&v.apply, "apply", defaultApply, "time within which a change of the rules must be in force, 500ms to 1m")
+	set.StringVar(&v.heartbeat, "heartbeat", defaultHeartbeat, "time between two writes of an endpoint's record, 100ms to 1m")
 	set.Float64Var(&v.overshoot, "overshoot", defaultOvershoot, "factor of a cold endpoint's rate that all entries together may send in one second, 0 to 100")
 	set.Float64Var(&v.coldSlack, "coldslack", defaultColdSlack, "requests to a cold endpoint beyond that in one second, 0 to 1000000")
 	return &v
@@ -138,6 +145,7 @@
 		Cores: v.quota * v.cores, Memory: v.memory, Ratio: v.ratio, Slack: v.slack,
 		Overshoot: v.overshoot, ColdSlack: v.coldSlack, Zones: countNames(v.zones),
 		Grace: p.duration("grace", v.grace, minGrace, maxGrace), Apply: p.duration("apply", v.apply, minApply, maxApply),
+		Heartbeat: p.duration("heartbeat", v.heartbeat, minHeartbeat, maxHeartbeat),
 	}
 	if s.Relay.Addr() != s.Peer.Addr() {
 		p.add("relay", v.relay, "the IP address of peer")
