Read the limit that an endpoint names in its answers, and show it

Each change is a log line 'endpoint limit', the number of such endpoints the gauge limited_endpoints. Nothing follows the limit yet.

--- a/core/kctbalance/balance_test.go
+++ b/core/kctbalance/balance_test.go
@@ -1,6 +1,7 @@
 package kctbalance
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -219,3 +220,32 @@
 		t.Error("no endpoint although one of the new version is left")
 	}
 }
+
+// TestLimitOfEndpoint guards against a limit that is kept after the endpoint no longer names it, or that an answer of another endpoint sets or ends.
+func TestLimitOfEndpoint(t *testing.T) {
+	var changes []string
+	b, f := New("", 1, WithOnLimit(func(_ kctport.InstanceID, change string) { changes = append(changes, change) })), fleet(0, 1, time.Time{}, "a")
+	rate := func(r float64) *float64 { return &r }
+	now := start
+	for _, c := range []struct {
+		outcome Outcome
+		limited int
+	}{
+		{Outcome{Latency: time.Millisecond}, 0},
+		{Outcome{RateLimit: rate(30)}, 1},
+		{Outcome{Latency: time.Millisecond, RateLimit: rate(31)}, 1},
+		{Outcome{Failed: true}, 1},
+		{Outcome{Latency: time.Millisecond, RateLimit: rate(10)}, 1},
+		{Outcome{Latency: time.Millisecond}, 0},
+		{Outcome{Misdirected: true, RateLimit: rate(5)}, 0},
+	} {
+		now = now.Add(10 * time.Second)
+		b.Finish(now, b.Start(now, f, Criteria{Service: "s"}), c.outcome)
+		if n := b.Limited(); n != c.limited {
+			t.Errorf("after %+v: %d endpoints with a limit, want %d", c.outcome, n, c.limited)
+		}
+	}
+	if want := []string{"30 requests a second", "10 requests a second", "none"}; !slices.Equal(changes, want) {
+		t.Errorf("reported %q, want %q", changes, want)
+	}
+}
--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -42,6 +42,7 @@
 	// smoothed holds the smoothed latency of each route.
 	smoothed map[string]time.Duration
 	number   uint64
+	onLimit  func(endpoint kctport.InstanceID, change string)
 }
 
 // Option configures a Balancer in New.
@@ -52,11 +53,17 @@
 	return func(b *Balancer) { b.cold = c }
 }
 
+// WithOnLimit calls f when an endpoint names a limit, changes it or names it no longer.
+func WithOnLimit(f func(endpoint kctport.InstanceID, change string)) Option {
+	return func(b *Balancer) { b.onLimit = f }
+}
+
 // New returns a balancer for an entry of the zone; the seed determines its random choices.
 func New(zone kctport.Zone, seed uint64, opts ...Option) *Balancer {
 	b := &Balancer{
 		zone: zone, cold: ColdBounds{defaultOvershoot, defaultColdSlack}, random: rand.New(rand.NewPCG(seed, seed)),
 		endpoints: map[kctport.InstanceID]*endpoint{}, smoothed: map[string]time.Duration{},
+		onLimit: func(kctport.InstanceID, string) {},
 	}
 	for _, o := range opts {
 		o(b)
@@ -204,21 +211,31 @@
 	// Misdirected is set when another endpoint answered at the address.
 	Misdirected bool
 	Load        *kctport.Load
+	// RateLimit is the limit that the endpoint named in its answer, nil without one.
+	RateLimit *float64
 }
 
 // Finish removes the attempt from the pending ones and records its outcome.
 func (b *Balancer) Finish(now time.Time, a *Attempt, o Outcome) {
+	if change := b.finish(now, a, o); change != "" {
+		b.onLimit(a.Endpoint.ID, change)
+	}
+}
+
+// finish returns the text of a limit that the endpoint named or ended, empty without a change.
+func (b *Balancer) finish(now time.Time, a *Attempt, o Outcome) string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	e := b.endpoints[a.Endpoint.ID]
 	if e == nil {
-		return
+		return ""
 	}
 	delete(e.pending, a.number)
 	if !e.started.Equal(a.Endpoint.Started) {
-		return
+		return ""
 	}
 	e.recordLoad(now, o.Load)
+	change := e.recordLimit(o)
 	switch {
 	case o.Misdirected:
 		e.misdirectedUntil = now.Add(misdirectedTime)
@@ -231,6 +248,20 @@
 		capped := min(o.Latency, time.Duration(maxRatio)*smoothed)
 		b.smoothed[a.route] = smoothed + time.Duration(latencyWeight*float64(capped-smoothed))
 	}
+	return change
+}
+
+// Limited returns the number of endpoints that name a limit, for operators.
+func (b *Balancer) Limited() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := 0
+	for _, e := range b.endpoints {
+		if e.limit != nil {
+			n++
+		}
+	}
+	return n
 }
 
 // Ejected lists the endpoints that get no requests after failures or a misdirected answer, for operators.
--- a/core/kctforward/call.go
+++ b/core/kctforward/call.go
@@ -287,7 +287,7 @@
 // recordOutcome reports the outcome of an attempt to the balancer, the hedge delays and the observer.
 func (c *call) recordOutcome(a *kctbalance.Attempt, sent time.Time, r *result) {
 	now := c.engine.timer.Now()
-	o := kctbalance.Outcome{Load: r.response.Load}
+	o := kctbalance.Outcome{Load: r.response.Load, RateLimit: r.response.RateLimit}
 	switch {
 	case r.err != nil:
 		o.Failed = !errors.Is(r.err, context.Canceled) && !errors.Is(r.err, kctport.ErrShed)
--- a/forward.go
+++ b/forward.go
@@ -47,6 +47,8 @@
 	Load *Load
 	// ColdRemaining is the time until the endpoint is no longer cold.
 	ColdRemaining time.Duration
+	// RateLimit is the number of requests a second that the endpoint takes from all entries together; nil when it names no limit.
+	RateLimit *float64
 }
 
 // OK reports whether the status is a success (2xx).
--- a/io/kctmetric/serving.go
+++ b/io/kctmetric/serving.go
@@ -3,9 +3,9 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	kctport "kingcupturn"
+	"kingcupturn/core/kctbalance"
 	"kingcupturn/core/kctforward"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -57,7 +57,7 @@
 }
 
 // RegisterFleet registers gauges of the current fleet state, and counters that other packages maintain.
-func (m *Serving) RegisterFleet(fleets kctport.Fleets, timer kctport.Timer, ejected func(now time.Time) []kctport.InstanceID, opened, dropped func() uint64) {
+func (m *Serving) RegisterFleet(fleets kctport.Fleets, timer kctport.Timer, b *kctbalance.Balancer, opened, dropped func() uint64) {
 	gauge := func(name, help string, read func(f *kctport.Fleet) float64) {
 		opts := prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}
 		m.registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return read(fleets.Fleet()) }))
@@ -83,8 +83,9 @@
 		return timer.Now().Sub(f.LastContact).Seconds()
 	})
 	gauge("ejected_endpoints", "Endpoints that rest after failures seen by this entry.", func(*kctport.Fleet) float64 {
-		return float64(len(ejected(timer.Now())))
+		return float64(len(b.Ejected(timer.Now())))
 	})
+	gauge("limited_endpoints", "Endpoints that name a limit of requests a second in their answers.", func(*kctport.Fleet) float64 { return float64(b.Limited()) })
 	counter := func(name, help string, read func() uint64) {
 		opts := prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}
 		m.registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(read()) }))
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -91,16 +91,20 @@
 	log := kctlog.DecisionLogger{}
 	seed := uint64(n.timer.Now().UnixNano())
 	n.policies = kctforward.Policies{
-		Balancer: kctbalance.New(settings.Zone, seed, kctbalance.WithColdBounds(kctbalance.ColdBounds{Overshoot: settings.Overshoot, Slack: settings.ColdSlack})),
-		Budget:   kctbalance.NewBudget(*n.budgetSettings.Load()),
-		Delays:   kctbalance.NewHedgeDelays(), Splitter: kctroutetable.NewSplitter(),
+		Balancer: kctbalance.New(settings.Zone, seed,
+			kctbalance.WithColdBounds(kctbalance.ColdBounds{Overshoot: settings.Overshoot, Slack: settings.ColdSlack}),
+			kctbalance.WithOnLimit(func(endpoint kctport.InstanceID, change string) {
+				log.LogChange("endpoint limit", string(endpoint), change, 0)
+			})),
+		Budget: kctbalance.NewBudget(*n.budgetSettings.Load()),
+		Delays: kctbalance.NewHedgeDelays(), Splitter: kctroutetable.NewSplitter(),
 	}
 	n.usage = kctusage.New(n.timer, settings.Cores)
 	n.control = kctfleet.New(n.self(), kctadapter.NewClient(settings.Store), kctfeed.NewClient(n.timer, kctadapter.Decode), n.timer, log,
 		kctfleet.WithOnPublish(n.updatePolicies), kctfleet.WithLoad(n.usage.Share), kctfleet.WithSeed(seed),
 		kctfleet.WithZones(settings.Zones), kctfleet.WithApplyDeadline(settings.Apply), kctfleet.WithHeartbeat(settings.Heartbeat))
 	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
-	n.metrics.RegisterFleet(n.control, n.timer, n.policies.Balancer.Ejected, n.egress.Opened, n.droppedLines)
+	n.metrics.RegisterFleet(n.control, n.timer, n.policies.Balancer, n.egress.Opened, n.droppedLines)
 	n.relay = kctrelay.NewClient(n.timer)
 	path := kctrelaypath.New(n.self(), n.control, n.egress, n.relay, n.timer)
 	engine := kctforward.NewEngine(n.control, n.timer, path, n.policies, observers{log, n.metrics}, kctforward.WithAttemptObserver(n.control))
--- a/io/kctrelay/relay_test.go
+++ b/io/kctrelay/relay_test.go
@@ -52,7 +52,7 @@
 	m := a.Message
 	body := bytes.Join([][]byte{[]byte(m.ID), []byte(m.Method), []byte(m.Target), []byte(m.Host), []byte(m.Header["X-Own"][0]), m.Body, []byte(a.Service)}, []byte("|"))
 	return kctport.Response{
-		Status: 200, Signature: "sig-" + string(a.Endpoint), Body: body, Load: &kctport.Load{Running: 1, Waiting: 2, Slots: 3}, ColdRemaining: time.Second,
+		Status: 200, Signature: "sig-" + string(a.Endpoint), Body: body, Load: &kctport.Load{Running: 1, Waiting: 2, Slots: 3}, ColdRemaining: time.Second, RateLimit: &limit,
 		NotRun: a.Endpoint == "refusing", Misdirected: a.Endpoint == "refusing",
 	}, nil
 }
@@ -94,6 +94,8 @@
 	return f
 }
 
+var limit = 2.5
+
 func message() *kctport.Message {
 	return &kctport.Message{
 		ID: "id", Method: "POST", Target: "/a?b=c", Host: "h", Header: kctport.Header{"X-Own": {"own"}}, Body: []byte("body"), Deadline: time.Now().Add(20 * time.Second),
@@ -112,7 +114,7 @@
 	for range 50 {
 		group.Go(func() {
 			r, err := f.exchange(t.Context(), m, "one")
-			if err != nil || string(r.Body) != "id|POST|/a?b=c|h|own|body|s" || r.Signature != "sig-one" || r.Status != 200 || *r.Load != (kctport.Load{Running: 1, Waiting: 2, Slots: 3}) || r.ColdRemaining != time.Second || r.NotRun {
+			if err != nil || string(r.Body) != "id|POST|/a?b=c|h|own|body|s" || r.Signature != "sig-one" || r.Status != 200 || *r.Load != (kctport.Load{Running: 1, Waiting: 2, Slots: 3}) || r.ColdRemaining != time.Second || r.RateLimit == nil || *r.RateLimit != 2.5 || r.NotRun {
 				t.Errorf("response %+v, error %v", r, err)
 			}
 		})
--- a/io/kctrelay/wire.go
+++ b/io/kctrelay/wire.go
@@ -59,6 +59,7 @@
 	}
 	out := &kctproto.RelayResult{
 		Number: number, Status: uint32(r.Status), Signature: r.Signature, Body: r.Body, Refused: r.NotRun, Misdirected: r.Misdirected, Cold: int64(r.ColdRemaining),
+		Limit: r.RateLimit,
 	}
 	if l := r.Load; l != nil {
 		out.Load = []uint32{uint32(l.Running), uint32(l.Waiting), uint32(l.Slots)}
@@ -98,7 +99,7 @@
 	}
 	r := kctport.Response{
 		Status: int(m.GetStatus()), Signature: m.GetSignature(), Body: m.GetBody(), NotRun: m.GetRefused(), Misdirected: m.GetMisdirected(),
-		ColdRemaining: time.Duration(m.GetCold()),
+		ColdRemaining: time.Duration(m.GetCold()), RateLimit: m.Limit,
 	}
 	const loadNumbers = 3
 	if l := m.GetLoad(); len(l) == loadNumbers {
