--- a/core/kctbalance/balance_test.go
+++ b/core/kctbalance/balance_test.go
@@ -249,3 +249,67 @@
 		t.Errorf("reported %q, want %q", changes, want)
 	}
 }
+
+// limitBound is the users' bound on the requests that an endpoint gets in 4 s from all entries that it has told its limit.
+func limitBound(limit float64) float64 {
+	return 1.5*limit*4 + 5
+}
+
+// TestLimitOfAllEntries guards against an endpoint that gets more requests than the limit which it names, summed over all entries: each of them
+// sends as if it were alone, or as much as before.
+func TestLimitOfAllEntries(t *testing.T) {
+	for _, c := range []struct {
+		limit   float64
+		entries int
+		// least is the share of the limit that the endpoint should get at least under more load than it allows.
+		least float64
+	}{{28.8, 9, 0.8}, {37.2, 8, 0.8}, {5, 9, 0.8}, {2, 90, 0.4}, {0.5, 9, 0}, {0, 9, 0}, {400, 9, 0.8}} {
+		var active []kctport.EntryRecord
+		for i := range c.entries {
+			active = append(active, kctport.EntryRecord{ID: kctport.InstanceID(rune('A' + i))})
+		}
+		f := fleet(0, c.entries, time.Time{}, "i")
+		f.Active = active
+		var balancers []*Balancer
+		for i := range c.entries {
+			balancers = append(balancers, New("", uint64(i), WithSelf(active[i].ID)))
+		}
+		// Each entry tries to send twice its part of four times the limit.
+		var sent []time.Time
+		interval := time.Duration(float64(time.Second) * float64(c.entries) / (8*c.limit + 8))
+		next := make([]time.Time, c.entries)
+		for at := start; at.Before(start.Add(20 * time.Second)); at = at.Add(2 * time.Millisecond) {
+			for i, b := range balancers {
+				if at.Before(next[i]) {
+					continue
+				}
+				next[i] = at.Add(interval)
+				if a := b.Start(at, f, Criteria{Service: "s"}); a != nil {
+					sent = append(sent, at)
+					b.Finish(at, a, Outcome{Latency: time.Millisecond, RateLimit: &c.limit})
+				}
+			}
+		}
+		// Every entry learns the limit from its first answer, at the start.
+		begin := start.Add(500 * time.Millisecond)
+		total := 0
+		for i, first := range sent {
+			if first.Before(begin) {
+				continue
+			}
+			total++
+			n := 0
+			for _, at := range sent[i:] {
+				if at.Before(first.Add(4 * time.Second)) {
+					n++
+				}
+			}
+			if float64(n) > limitBound(c.limit) {
+				t.Fatalf("limit %v, %d entries: %d requests in 4 s, want at most %v", c.limit, c.entries, n, limitBound(c.limit))
+			}
+		}
+		if got := float64(total) / 19.5; got < c.least*c.limit || total == 0 {
+			t.Errorf("limit %v, %d entries: %.2f requests a second, want at least %.2f", c.limit, c.entries, got, c.least*c.limit)
+		}
+	}
+}
--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -33,6 +33,7 @@
 
 // Balancer chooses endpoints; it is safe for concurrent use.
 type Balancer struct {
+	self kctport.InstanceID
 	zone kctport.Zone
 	cold ColdBounds
 
@@ -58,6 +59,11 @@
 	return func(b *Balancer) { b.onLimit = f }
 }
 
+// WithSelf sets the identifier of this entry, by which it knows its place among the active ones.
+func WithSelf(self kctport.InstanceID) Option {
+	return func(b *Balancer) { b.self = self }
+}
+
 // New returns a balancer for an entry of the zone; the seed determines its random choices.
 func New(zone kctport.Zone, seed uint64, opts ...Option) *Balancer {
 	b := &Balancer{
