Keep to the limits of endpoints over all entries, and plan queries by the room they leave

Cause: the header was not read, and an entry that keeps a limit alone lets nine of them exceed it. Change: each active entry has an equal share of an endpoint's limit, as a token bucket of half a second; with less than one request a second for each, only so many entries as have one share it, by rendezvous hashing, and the others learn from a trickle when the limit ends. A gather looks at the room of all its shards before it sends: it leaves scarce shards out as far as its minimum coverage allows, so that more queries reach theirs, and is refused at once, with the time to come back, when too many shards have no room. A less urgent query is admitted no sooner than a more urgent one, and takes fewer shards. Scarce shards get no hedges. Without a limit nothing changes. Evidence: TestLimitOfAllEntries failed before (954 requests in 4 s, 177.8 allowed) and passes. TestGatherUnderLimits: without the plan 262 of 675 urgent queries fail after other shards have worked for them, with it 0 fail and 73 are refused at once.

--- a/core/kctbalance/balance_test.go
+++ b/core/kctbalance/balance_test.go
@@ -274,9 +274,9 @@
 		for i := range c.entries {
 			balancers = append(balancers, New("", uint64(i), WithSelf(active[i].ID)))
 		}
-		// Each entry tries to send twice its part of four times the limit.
+		// All entries together try to send far more than the limit, each of them also more than a whole share of a small one.
 		var sent []time.Time
-		interval := time.Duration(float64(time.Second) * float64(c.entries) / (8*c.limit + 8))
+		interval := time.Duration(float64(time.Second) * float64(c.entries) / (100*c.limit + 100))
 		next := make([]time.Time, c.entries)
 		for at := start; at.Before(start.Add(20 * time.Second)); at = at.Add(2 * time.Millisecond) {
 			for i, b := range balancers {
--- a/core/kctbalance/balancer.go
+++ b/core/kctbalance/balancer.go
@@ -43,7 +43,11 @@
 	// smoothed holds the smoothed latency of each route.
 	smoothed map[string]time.Duration
 	number   uint64
-	onLimit  func(endpoint kctport.InstanceID, change string)
+	// limited is the number of endpoints that name a limit.
+	limited int
+	// emptyAt is when the endpoints of each service last had no token left.
+	emptyAt map[kctport.ServiceName]time.Time
+	onLimit func(endpoint kctport.InstanceID, change string)
 }
 
 // Option configures a Balancer in New.
@@ -69,7 +73,7 @@
 	b := &Balancer{
 		zone: zone, cold: ColdBounds{defaultOvershoot, defaultColdSlack}, random: rand.New(rand.NewPCG(seed, seed)),
 		endpoints: map[kctport.InstanceID]*endpoint{}, smoothed: map[string]time.Duration{},
-		onLimit: func(kctport.InstanceID, string) {},
+		emptyAt: map[kctport.ServiceName]time.Time{}, onLimit: func(kctport.InstanceID, string) {},
 	}
 	for _, o := range opts {
 		o(b)
@@ -83,6 +87,8 @@
 	Route   string
 	// Tried lists the endpoints to which the request has been sent.
 	Tried []kctport.InstanceID
+	// MaxWait is how long the attempt may wait for an endpoint that names a limit.
+	MaxWait time.Duration
 }
 
 // Attempt is one request that was sent to an endpoint.
@@ -90,9 +96,11 @@
 	Endpoint *kctport.FleetEndpoint
 	// Connections is this entry's share of the endpoint's connections.
 	Connections int
-	route       string
-	number      uint64
-	start       time.Time
+	// Wait is the time for which the attempt must wait, so that the endpoint gets no more than it takes.
+	Wait   time.Duration
+	route  string
+	number uint64
+	start  time.Time
 }
 
 // Started returns when the endpoint was chosen.
@@ -116,13 +124,18 @@
 		if e.misdirectedUntil.After(now) || s.ColdUntil.After(now) && !e.cold.open(now) {
 			continue
 		}
+		delay, ok := b.limitWait(now, fleet, s, e, criteria)
+		if !ok {
+			continue
+		}
 		if wait := e.ejectedUntil.Sub(now); wait > 0 {
 			if ejected == nil || wait.Seconds() < shortest {
 				ejected, shortest = s, wait.Seconds()
 			}
 			continue
 		}
-		if score := b.score(now, s, e, criteria.Route); best == nil || score < bestScore {
+		score := b.score(now, s, e, criteria.Route) + float64(delay)/float64(b.smoothedLatency(criteria.Route))
+		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
 	}
@@ -137,9 +150,15 @@
 	if best.ColdUntil.After(now) {
 		e.cold.advance(now, spacing)
 	}
+	a := &Attempt{Endpoint: best, Connections: Connections(fleet, criteria.Service), route: criteria.Route, start: now}
+	if e.limiter != nil {
+		a.Wait, _ = b.limitWait(now, fleet, best, e, criteria)
+		e.limiter.tokens--
+	}
 	b.number++
-	e.pending[b.number] = now
-	return &Attempt{Endpoint: best, Connections: Connections(fleet, criteria.Service), route: criteria.Route, number: b.number, start: now}
+	a.number = b.number
+	e.pending[a.number] = now
+	return a
 }
 
 // candidates lists the endpoints of the version chosen for the attempt, or all of them when the service has no running move. Second attempts
@@ -176,12 +195,23 @@
 func (b *Balancer) endpoint(s *kctport.FleetEndpoint) *endpoint {
 	e := b.endpoints[s.ID]
 	if e == nil || !e.started.Equal(s.Started) {
+		if e != nil {
+			b.forget(s.ID, e)
+		}
 		e = newEndpoint(s.Started)
 		b.endpoints[s.ID] = e
 	}
 	return e
 }
 
+// forget drops the state of an endpoint; the caller holds the lock.
+func (b *Balancer) forget(id kctport.InstanceID, e *endpoint) {
+	if e.limiter != nil {
+		b.limited--
+	}
+	delete(b.endpoints, id)
+}
+
 // score estimates the latency of an attempt in units of the route's smoothed latency; the caller holds the lock.
 func (b *Balancer) score(now time.Time, s *kctport.FleetEndpoint, e *endpoint, route string) float64 {
 	smoothed := b.smoothedLatency(route)
@@ -241,7 +271,7 @@
 		return ""
 	}
 	e.recordLoad(now, o.Load)
-	change := e.recordLimit(o)
+	change := b.recordLimit(now, e, o)
 	switch {
 	case o.Misdirected:
 		e.misdirectedUntil = now.Add(misdirectedTime)
@@ -257,19 +287,6 @@
 	return change
 }
 
-// Limited returns the number of endpoints that name a limit, for operators.
-func (b *Balancer) Limited() int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	n := 0
-	for _, e := range b.endpoints {
-		if e.limit != nil {
-			n++
-		}
-	}
-	return n
-}
-
 // Ejected lists the endpoints that get no requests after failures or a misdirected answer, for operators.
 func (b *Balancer) Ejected(now time.Time) []kctport.InstanceID {
 	b.mu.Lock()
@@ -295,7 +312,12 @@
 	}
 	for id, e := range b.endpoints {
 		if !current[id] && len(e.pending) == 0 {
-			delete(b.endpoints, id)
+			b.forget(id, e)
+		}
+	}
+	for service := range b.emptyAt {
+		if len(fleet.Endpoints[service]) == 0 {
+			delete(b.emptyAt, service)
 		}
 	}
 	if fleet.Rules == nil {
--- a/core/kctbalance/endpoint.go
+++ b/core/kctbalance/endpoint.go
@@ -45,8 +45,8 @@
 	// misdirectedUntil ends the period without attempts after another endpoint answered at the address.
 	misdirectedUntil time.Time
 	cold             coldGate
-	// limit is the number of requests a second that the endpoint takes from all entries together, nil without one.
-	limit *float64
+	// limiter is nil while the endpoint names no limit.
+	limiter *limiter
 }
 
 func newEndpoint(started time.Time) *endpoint {
--- a/core/kctforward/call.go
+++ b/core/kctforward/call.go
@@ -23,8 +23,10 @@
 	deadline time.Time
 	// softDeadline is when a gather is answered from the parts received, if they reach the route's minimum coverage.
 	softDeadline time.Time
-	parts        []*part
-	results      chan result
+	// includeAt is when parts that were left out are sent after all if the others don't reach the minimum coverage; zero without such parts.
+	includeAt time.Time
+	parts     []*part
+	results   chan result
 	// done is closed when results has no reader any more.
 	done chan struct{}
 	// attempts is the context of the attempts, which may outlive the call; refs counts the running attempts and the call.
@@ -49,6 +51,8 @@
 	failed   *kctport.Response
 	// nextAt is when the part is hedged or an endpoint is selected again; zero for never.
 	nextAt time.Time
+	// leftOut is set while the request does without the part, since the endpoints of its shard take few requests.
+	leftOut bool
 }
 
 // lastTried returns the endpoint of the latest attempt, empty without one.
@@ -102,8 +106,13 @@
 	if reply, ok := c.refuseUncoverable(); ok {
 		return reply
 	}
+	if reply, ok := c.planRoom(c.engine.timer.Now()); ok {
+		return reply
+	}
 	for _, p := range c.parts {
-		c.launch(p)
+		if !p.leftOut {
+			c.launch(p)
+		}
 	}
 	return c.collect(ctx)
 }
@@ -193,6 +202,9 @@
 	if len(c.route.Gather) > 0 && c.softDeadline.After(now) && c.softDeadline.Before(next) {
 		next = c.softDeadline
 	}
+	if !c.includeAt.IsZero() && c.includeAt.Before(next) {
+		next = c.includeAt
+	}
 	for _, p := range c.parts {
 		if p.response == nil && !p.nextAt.IsZero() && p.nextAt.Before(next) {
 			next = p.nextAt
@@ -206,17 +218,21 @@
 	return c.engine.timer.After(ctx, max(0, d)), cancel
 }
 
-// launchDue starts the attempts that are due: hedges, and parts that had no usable endpoint before.
+// launchDue starts the attempts that are due: hedges, parts that had no usable endpoint before, and parts that were left out.
 func (c *call) launchDue(now time.Time) {
+	if !c.includeAt.IsZero() && !c.includeAt.After(now) {
+		c.includeAt = time.Time{}
+		c.includeLeftOut()
+	}
 	for _, p := range c.parts {
 		if p.response != nil || p.nextAt.IsZero() || p.nextAt.After(now) {
 			continue
 		}
 		p.nextAt = time.Time{}
-		if !c.withdrawAttempt(p, hedgeReserve) {
+		hedge := len(p.pending) > 0
+		if hedge && c.isScarce(now, p) || !c.withdrawAttempt(p, hedgeReserve) {
 			continue
 		}
-		hedge := len(p.pending) > 0
 		if c.launch(p) && hedge {
 			c.trace.Hedges++
 		}
@@ -235,7 +251,11 @@
 func (c *call) launch(p *part) bool {
 	e := c.engine
 	now := e.timer.Now()
-	a := e.balancer.Start(now, c.currentFleet(), kctbalance.Criteria{Service: p.service, Route: c.route.Name, Tried: p.tried})
+	criteria := kctbalance.Criteria{Service: p.service, Route: c.route.Name, Tried: p.tried}
+	if len(p.tried) == 0 {
+		criteria.MaxWait = roomWait
+	}
+	a := e.balancer.Start(now, c.currentFleet(), criteria)
 	if a == nil && len(p.pending) == 0 && len(p.tried) > 0 && c.route.Idempotent {
 		// Every endpoint has been tried; sending to one again is better than giving up.
 		p.tried = p.tried[:0]
@@ -249,7 +269,7 @@
 	p.pending = append(p.pending, a)
 	c.trace.Attempts++
 	if c.route.Idempotent {
-		p.nextAt = now.Add(e.delays.Delay(c.route.Name, time.Duration(hedgeShare*float64(c.route.Objective))))
+		p.nextAt = now.Add(a.Wait + e.delays.Delay(c.route.Name, time.Duration(hedgeShare*float64(c.route.Objective))))
 	}
 	c.refs.Add(1)
 	go c.attempt(p, a, repeat)
@@ -272,6 +292,12 @@
 	defer c.release()
 	r := result{part: p, attempt: a}
 	var sent time.Time
+	if a.Wait > 0 {
+		select {
+		case <-c.attempts.Done():
+		case <-c.engine.timer.After(c.attempts, a.Wait):
+		}
+	}
 	r.response, r.err = c.engine.exchanger.Exchange(c.attempts, &a.Endpoint.EndpointRecord, c.message, kctport.ExchangeOptions{
 		Deadline: c.deadline, Connections: a.Connections, NonIdempotent: !c.route.Idempotent, Gathered: len(c.route.Gather) > 0, Repeat: repeat,
 		Usable:     func() bool { return c.engine.fleets.Fleet().Endpoint(p.service, a.Endpoint.ID) != nil },
--- a/core/kctforward/decide.go
+++ b/core/kctforward/decide.go
@@ -137,6 +137,8 @@
 		return c.mergedReply(now), true
 	case !expired && open > 0 && c.meetsCoverage(answered+open):
 		return kctport.Reply{}, false
+	case !expired && c.includeLeftOut():
+		return kctport.Reply{}, false
 	}
 	return c.tooFewParts(expired), true
 }
@@ -161,7 +163,7 @@
 	for _, p := range c.parts {
 		if p.response == nil {
 			r.Missing++
-			c.trace.add(now, "shard left out", p.service, p.lastTried(), "")
+			c.trace.add(now, "shard left out", p.service, p.lastTried(), p.leftOutDetail())
 			continue
 		}
 		r.Signatures = append(r.Signatures, p.response.Signature)
--- a/core/kctforward/engine.go
+++ b/core/kctforward/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	kctport "kingcupturn"
@@ -43,6 +44,14 @@
 	splitter        *kctroutetable.Splitter
 	observer        Observer
 	attemptObserver kctport.Observer
+	// coverages holds the strictest coverage by priority of the rules for which it was last computed.
+	coverages atomic.Pointer[coverages]
+}
+
+// coverages holds the greatest minimum coverage of rules' routes by priority.
+type coverages struct {
+	rules      *kctport.Rules
+	byPriority map[int]float64
 }
 
 var _ kctport.Forwarder = (*Engine)(nil)
@@ -115,6 +124,27 @@
 	return kctport.Reply{Status: statusNotFound, Local: true, Reason: "no route"}, nil
 }
 
+// urgentCoverage returns the greatest minimum coverage of the gathers that are more urgent than a priority.
+func (e *Engine) urgentCoverage(rules *kctport.Rules, priority int) float64 {
+	known := e.coverages.Load()
+	if known == nil || known.rules != rules {
+		known = &coverages{rules: rules, byPriority: map[int]float64{}}
+		for _, r := range rules.Routes {
+			if len(r.Gather) > 0 {
+				known.byPriority[r.Priority] = max(known.byPriority[r.Priority], r.MinCoverage)
+			}
+		}
+		e.coverages.Store(known)
+	}
+	greatest := 0.0
+	for p, coverage := range known.byPriority {
+		if p < priority {
+			greatest = max(greatest, coverage)
+		}
+	}
+	return greatest
+}
+
 // The status codes of the tier's own answers.
 const (
 	statusOK          = 200
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -91,7 +91,7 @@
 	log := kctlog.DecisionLogger{}
 	seed := uint64(n.timer.Now().UnixNano())
 	n.policies = kctforward.Policies{
-		Balancer: kctbalance.New(settings.Zone, seed,
+		Balancer: kctbalance.New(settings.Zone, seed, kctbalance.WithSelf(settings.ID),
 			kctbalance.WithColdBounds(kctbalance.ColdBounds{Overshoot: settings.Overshoot, Slack: settings.ColdSlack}),
 			kctbalance.WithOnLimit(func(endpoint kctport.InstanceID, change string) {
 				log.LogChange("endpoint limit", string(endpoint), change, 0)
