Tests of answers that break off at any byte

An operators' report: a server stopped in the middle of its answer's head, and clients got a 200 with an empty or short body framed as whole.

--- a/io/kctegress/client_test.go
+++ b/io/kctegress/client_test.go
@@ -280,3 +280,35 @@
 		t.Errorf("%d requests reached the endpoint, error %v; want 1 and an error that says that the second has not run", served.Load(), err)
 	}
 }
+
+// cutAnswer is an answer with a head and a body of known length.
+const cutAnswer = "HTTP/1.1 200 OK\r\nId: 1\r\nSig: s\r\nContent-Length: 5\r\nKeep-Alive: timeout=5\r\n\r\nwhole"
+
+// TestCutAnswer guards against an answer that breaks off in its head or body and is passed on as a whole one, with an empty or short body.
+func TestCutAnswer(t *testing.T) {
+	for name, whole := range map[string]string{
+		"length": cutAnswer,
+		// The body of an answer without a length ends with the connection, so that only the head can be cut.
+		"no length": strings.TrimSuffix(strings.Replace(cutAnswer, "Content-Length: 5\r\n", "", 1), "whole"),
+		"chunked":   strings.Replace(strings.Replace(cutAnswer, "Content-Length: 5", "Transfer-Encoding: chunked", 1), "whole", "2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n", 1),
+	} {
+		for cut := range len(whole) {
+			endpoint := serve(t, func(c net.Conn, _ *http.Request, _ int) bool {
+				// A write to a buffered loopback connection doesn't block, and its error would show as a cut.
+				_, _ = io.WriteString(c, whole[:cut])
+				return false
+			})
+			r, err := exchange(client(t), endpoint, "1", "")
+			if err == nil || errors.Is(err, kctport.ErrNotRun) {
+				t.Errorf("%s, cut after %q: response %+v, error %v; want an error that does not say that it has not run", name, whole[:cut], r, err)
+			}
+		}
+		endpoint := serve(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			_, _ = io.WriteString(c, whole)
+			return false
+		})
+		if r, err := exchange(client(t), endpoint, "1", ""); err != nil || r.Signature != "s" || name != "no length" && string(r.Body) != "whole" {
+			t.Errorf("%s, not cut: %+v, %v", name, r, err)
+		}
+	}
+}
