--- a/core/kctbalance/balance_test.go
+++ b/core/kctbalance/balance_test.go
@@ -1,6 +1,7 @@
 package kctbalance
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -313,3 +314,26 @@
 		}
 	}
 }
+
+// BenchmarkLimitedEndpoints measures the choice among endpoints that name a small limit, in a fleet of many active entries; docs/CAPACITY.md cites it.
+func BenchmarkLimitedEndpoints(b *testing.B) {
+	for _, entries := range []int{9, 90, 4100} {
+		b.Run(fmt.Sprint(entries, " entries"), func(b *testing.B) {
+			f := fleet(0, entries, time.Time{}, "x", "y", "z")
+			for i := range entries {
+				f.Active = append(f.Active, kctport.EntryRecord{ID: kctport.InstanceID(fmt.Sprint("e", i))})
+			}
+			balancer, limit, now := New("", 1, WithSelf("e0")), 5.0, start
+			for range 3 {
+				balancer.Finish(now, balancer.Start(now, f, Criteria{Service: "s"}), Outcome{Latency: time.Millisecond, RateLimit: &limit})
+			}
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				balancer.Room(now, f, "s")
+				if a := balancer.Start(now, f, Criteria{Service: "s"}); a != nil {
+					balancer.Finish(now, a, Outcome{Latency: time.Millisecond, RateLimit: &limit})
+				}
+			}
+		})
+	}
+}
--- a/core/kctbalance/limit.go
+++ b/core/kctbalance/limit.go
@@ -34,6 +34,10 @@
 	limit  float64
 	tokens float64
 	at     time.Time
+	// own is this entry's share of the limit in the fleet state of, since ranking many entries for each request is costly.
+	own     share
+	of      *kctport.Fleet
+	ofLimit float64
 }
 
 // share is the part of an endpoint's limit that one entry may use.
@@ -43,6 +47,14 @@
 	capacity float64
 }
 
+// ownShare returns this entry's share of the endpoint's limit; the caller holds the lock.
+func (b *Balancer) ownShare(fleet *kctport.Fleet, id kctport.InstanceID, l *limiter) share {
+	if l.of != fleet || l.ofLimit != l.limit {
+		l.own, l.of, l.ofLimit = b.limitShare(fleet, id, l.limit), fleet, l.limit
+	}
+	return l.own
+}
+
 // recordLimit stores the limit that an answer names, or ends it after a success without one; it returns the text of the change, if any. The caller
 // holds the lock.
 func (b *Balancer) recordLimit(now time.Time, e *endpoint, o Outcome) string {
@@ -74,7 +86,7 @@
 	if e.limiter == nil {
 		return 0, true
 	}
-	own := b.limitShare(fleet, s.ID, e.limiter.limit)
+	own := b.ownShare(fleet, s.ID, e.limiter)
 	e.limiter.refill(now, own)
 	wait := e.limiter.wait(own)
 	return wait, wait <= criteria.MaxWait
@@ -166,7 +178,7 @@
 		if e.limiter == nil {
 			return Room{Fill: 1}
 		}
-		own := b.limitShare(fleet, s.ID, e.limiter.limit)
+		own := b.ownShare(fleet, s.ID, e.limiter)
 		e.limiter.refill(now, own)
 		tokens, capacity = tokens+max(0, e.limiter.tokens), capacity+own.capacity
 		if w := e.limiter.wait(own); wait < 0 || w < wait {
