Bound the head of an endpoint's answer

What callers would see: an entry is killed for its memory, with all requests on it. Cause: net/http's ReadResponse reads a head of any size, so that an endpoint which sends bytes without end in place of a head fills the memory until the deadline. Change: a head may have 64 KiB; a longer one fails the attempt at once.

--- a/io/kctegress/client.go
+++ b/io/kctegress/client.go
@@ -160,7 +160,7 @@
 func (x *exchange) readAnswer(ctx context.Context) (kctport.Response, bool, error) {
 	request := &http.Request{Method: x.message.Method}
 	for range maxStaleAnswers + 1 {
-		raw, err := http.ReadResponse(x.conn.reader, request)
+		raw, err := x.conn.readHead(request)
 		if err != nil {
 			return kctport.Response{}, false, x.classifyError(ctx, true, err)
 		}
--- a/io/kctegress/client_test.go
+++ b/io/kctegress/client_test.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -312,3 +314,73 @@
 		}
 	}
 }
+
+// endless writes the start of an answer and then a piece of it again and again until the connection fails.
+func endless(c net.Conn, begin, piece string) {
+	_, err := io.WriteString(c, begin)
+	block := strings.Repeat(piece, max(1, 64<<10/len(piece)))
+	for err == nil {
+		_, err = io.WriteString(c, block)
+	}
+}
+
+// endlessAnswer is the start of an answer and a piece that follows without end.
+type endlessAnswer struct{ begin, piece string }
+
+// TestEndlessHead guards against bytes without end in an answer's head that take the memory of the process.
+func TestEndlessHead(t *testing.T) {
+	testEndless(t, map[string]endlessAnswer{
+		"no answer":     {"", "x"},
+		"status line":   {"HTTP/1.1 200 ", "x"},
+		"header line":   {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"header lines":  {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early\r\n\r\n"},
+	})
+}
+
+// testEndless sends one request to each of fifty endpoints that answer without end, and reports requests that don't fail in time and too large a heap.
+func testEndless(t *testing.T, answers map[string]endlessAnswer) {
+	const servers, memoryBound = 50, 96 << 20
+	for name, c := range answers {
+		t.Run(name, func(t *testing.T) {
+			debug.FreeOSMemory()
+			k := client(t)
+			stop, peak := make(chan struct{}), make(chan uint64)
+			go func() { peak <- heapPeak(stop) }()
+			var group sync.WaitGroup
+			for range servers {
+				endpoint := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+					endless(conn, c.begin, c.piece)
+					return false
+				})
+				group.Go(func() {
+					began := time.Now()
+					r, err := exchange(k, endpoint, "1", "")
+					if spent := time.Since(began); err == nil || errors.Is(err, kctport.ErrNotRun) || spent > 3*time.Second {
+						t.Errorf("response %+v, error %v after %v; want an error by the deadline of 2s that does not say that it has not run", r.Status, err, spent)
+					}
+				})
+			}
+			group.Wait()
+			close(stop)
+			if p := <-peak; p > memoryBound {
+				t.Errorf("%d MiB of heap in use, want at most %d", p>>20, memoryBound>>20)
+			}
+		})
+	}
+}
+
+// heapPeak returns the largest heap in use, sampled until stop is closed.
+func heapPeak(stop <-chan struct{}) uint64 {
+	var peak uint64
+	for {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapInuse)
+		select {
+		case <-stop:
+			return peak
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- a/io/kctegress/conn.go
+++ b/io/kctegress/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,12 +18,20 @@
 	defaultIdleTimeout = 4 * time.Second
 	// readBuffer is the size of a read buffer in bytes; it fits the headers of an answer and a small body.
 	readBuffer = 2 << 10
+	// maxHead is the largest accepted head of an answer in bytes; the users' callers may send 16 KiB.
+	maxHead = 64 << 10
 )
 
+// errHeadTooLong ends the reading of a head without end.
+var errHeadTooLong = errors.New("head of more than 64 KiB")
+
 // conn is a connection to an endpoint, used by one request at a time.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// headLeft is the number of bytes that may still be read while readingHead is set.
+	headLeft    int
+	readingHead bool
 	// answers counts the answers read; the first one can't be stale.
 	answers int
 	// idleSince is when the connection was last put back; it may be reused until idleTimeout later.
@@ -31,7 +40,29 @@
 }
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), idleTimeout: defaultIdleTimeout}
+	k := &conn{Conn: c, idleTimeout: defaultIdleTimeout}
+	k.reader = bufio.NewReaderSize(k, readBuffer)
+	return k
+}
+
+// Read bounds the bytes of a head.
+func (c *conn) Read(b []byte) (int, error) {
+	if !c.readingHead {
+		return c.Conn.Read(b)
+	}
+	if c.headLeft <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
+// readHead reads the head of an answer.
+func (c *conn) readHead(request *http.Request) (*http.Response, error) {
+	c.readingHead, c.headLeft = true, maxHead
+	defer func() { c.readingHead = false }()
+	return http.ReadResponse(c.reader, request)
 }
 
 // reusable reports whether the connection may carry another request.
