Bound the memory of answers' bodies that are being read

What callers would see: an entry is killed for its memory, with all requests on it. Cause: each attempt may read 16 MiB into a buffer that doubles, so that fifty endpoints whose bodies have no end take several times the memory of an entry. Change: io/kctbody reads bodies in steps; beyond 64 KiB each takes its memory from a budget of 24 MiB, and a body for which there is none fails its attempt.

--- a/io/kctegress/client.go
+++ b/io/kctegress/client.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctbody"
 )
 
 const (
@@ -32,6 +32,7 @@
 	timer   kctport.Timer
 	dialect kctport.Dialect
 	pools   *Pools
+	bodies  kctbody.Reader
 }
 
 var _ kctport.Exchanger = (*Client)(nil)
@@ -167,11 +168,12 @@
 		if raw.StatusCode < http.StatusOK {
 			continue
 		}
-		body, err := io.ReadAll(io.LimitReader(raw.Body, maxBody+1))
-		raw.Body.Close()
+		body, err := x.client.bodies.Read(raw.Body, maxBody)
 		if err != nil {
+			// Closing the body would read on to its end.
 			return kctport.Response{}, false, x.classifyError(ctx, true, err)
 		}
+		raw.Body.Close()
 		response, id := x.client.dialect.Response(raw.StatusCode, kctport.Header(raw.Header))
 		x.conn.recordIdleTimeout(raw.Header)
 		x.conn.answers++
@@ -182,9 +184,6 @@
 			}
 			continue
 		}
-		if len(body) > maxBody {
-			return kctport.Response{}, false, eris.Wrapf(kctport.ErrMismatch, "answer of more than %d bytes", maxBody)
-		}
 		response.Body = body
 		return response, !raw.Close && x.conn.reader.Buffered() == 0, nil
 	}
@@ -203,6 +202,8 @@
 	switch {
 	case !sent:
 		return eris.Wrapf(errNotSent, "write: %v", err)
+	case errors.Is(err, kctport.ErrMismatch):
+		return err
 	case ctx.Err() == context.Canceled:
 		return eris.Wrapf(context.Canceled, "cut off: %v", err)
 	case errors.As(err, &netErr) && netErr.Timeout():
--- a/io/kctegress/client_test.go
+++ b/io/kctegress/client_test.go
@@ -338,6 +338,53 @@
 	})
 }
 
+// TestEndlessBody guards against bytes without end in an answer's body that take the memory of the process.
+func TestEndlessBody(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\n"
+	testEndless(t, map[string]endlessAnswer{
+		"answers to others": {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx"},
+		"length":            {head + "Content-Length: 99999999999\r\n\r\n", "x"},
+		"no length":         {head + "\r\n", "x"},
+		"chunks":            {head + "Transfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
+		"chunk extension":   {head + "Transfer-Encoding: chunked\r\n\r\n1;", "x"},
+		"trailer":           {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	})
+}
+
+// TestLargeBody guards against a body that is refused, cut or not released although there is memory for it.
+func TestLargeBody(t *testing.T) {
+	for _, size := range []int{0, 1, 64<<10 - 1, 64 << 10, 64<<10 + 1, 1 << 20, 10 << 20} {
+		body := strings.Repeat("b", size)
+		endpoint := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+			answer(c, r.Header.Get("Id"), body)
+			return true
+		})
+		k := client(t)
+		for range 8 {
+			if r, err := exchange(k, endpoint, "1", ""); err != nil || string(r.Body) != body {
+				t.Errorf("body of %d bytes, want %d: %v", len(r.Body), size, err)
+			}
+		}
+	}
+}
+
+// TestCutLargeBody guards against a large body that breaks off and is passed on as a whole one.
+func TestCutLargeBody(t *testing.T) {
+	const size = 1 << 20
+	for _, cut := range []int{1, freeBody - 1, freeBody, freeBody + 1, 300 << 10, freeBody + 256<<10, 700 << 10, size - 1} {
+		endpoint := serve(t, func(c net.Conn, _ *http.Request, _ int) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("b", cut))
+			return false
+		})
+		if r, err := exchange(client(t), endpoint, "1", ""); err == nil || errors.Is(err, kctport.ErrNotRun) {
+			t.Errorf("body cut after %d of %d bytes: %d bytes, error %v; want an error that does not say that it has not run", cut, size, len(r.Body), err)
+		}
+	}
+}
+
+// freeBody is the size in bytes up to which a body is read in one step.
+const freeBody = 64 << 10
+
 // testEndless sends one request to each of fifty endpoints that answer without end, and reports requests that don't fail in time and too large a heap.
 func testEndless(t *testing.T, answers map[string]endlessAnswer) {
 	const servers, memoryBound = 50, 96 << 20
@@ -347,9 +394,13 @@
 			k := client(t)
 			stop, peak := make(chan struct{}), make(chan uint64)
 			go func() { peak <- heapPeak(stop) }()
-			var group sync.WaitGroup
+			var group, connected sync.WaitGroup
+			connected.Add(servers)
 			for range servers {
 				endpoint := serve(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+					// All begin together, so that no request waits for its connection beside the others' bytes.
+					connected.Done()
+					connected.Wait()
 					endless(conn, c.begin, c.piece)
 					return false
 				})
