Bound the memory of replies on the own interface as on the users' platform

The same cause on the other front end: net/http accepts heads of 10 MiB, and each reply may take 4 MiB and more while its buffer grows.

--- a/io/kctbackend/client.go
+++ b/io/kctbackend/client.go
@@ -5,6 +5,7 @@
 	"time"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctbody"
 )
 
 const (
@@ -18,6 +19,8 @@
 	defaultIdleTimeout = 60 * time.Second
 	// maxReplyBytes bounds a reply body, so that a faulty endpoint cannot exhaust the memory.
 	maxReplyBytes = 4 << 20
+	// maxReplyHead bounds a reply's head, in bytes.
+	maxReplyHead = 64 << 10
 )
 
 // Client sends requests to endpoints; it is safe for concurrent use.
@@ -30,6 +33,8 @@
 	dial          time.Duration
 	returnReserve time.Duration
 
+	bodies kctbody.Reader
+
 	mu    sync.Mutex
 	pools map[kctport.InstanceID]*pool
 }
@@ -89,7 +94,7 @@
 	if p, ok := c.pools[e.ID]; ok {
 		p.close()
 	}
-	p := newPool(c.timer, e.Address, connections, c.dial)
+	p := newPool(c.timer, e.Address, connections, c.dial, &c.bodies)
 	c.pools[e.ID] = p
 	return p
 }
--- a/io/kctbackend/exchange.go
+++ b/io/kctbackend/exchange.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -67,10 +66,7 @@
 		return unwrittenError(eris.New("a reply came before the request was written"))
 	}
 	defer x.conn.endRequest()
-	data, err := io.ReadAll(io.LimitReader(res.Body, maxReplyBytes+1))
-	if err == nil && len(data) > maxReplyBytes {
-		err = eris.Errorf("reply above %d bytes", maxReplyBytes)
-	}
+	data, err := x.pool.bodies.Read(res.Body, maxReplyBytes)
 	if err != nil {
 		return x.readError(ctx, err)
 	}
--- a/io/kctbackend/pool.go
+++ b/io/kctbackend/pool.go
@@ -9,6 +9,7 @@
 	"time"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctbody"
 )
 
 // pool holds the connections to one endpoint.
@@ -17,14 +18,15 @@
 	address     netip.AddrPort
 	connections int
 	transport   *http.Transport
+	bodies      *kctbody.Reader
 
 	mu     sync.Mutex
 	closed bool
 	open   map[*conn]struct{}
 }
 
-func newPool(timer kctport.Timer, address netip.AddrPort, connections int, dial time.Duration) *pool {
-	p := &pool{timer: timer, address: address, connections: connections, open: map[*conn]struct{}{}}
+func newPool(timer kctport.Timer, address netip.AddrPort, connections int, dial time.Duration, bodies *kctbody.Reader) *pool {
+	p := &pool{timer: timer, address: address, connections: connections, bodies: bodies, open: map[*conn]struct{}{}}
 	dialer := &net.Dialer{Timeout: dial}
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -38,6 +40,8 @@
 		MaxIdleConnsPerHost: connections,
 		IdleConnTimeout:     defaultIdleTimeout,
 		DisableCompression:  true,
+		// An endpoint in trouble may send a head without end.
+		MaxResponseHeaderBytes: maxReplyHead,
 	}
 	return p
 }
--- a/io/kctegress/client_test.go
+++ b/io/kctegress/client_test.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"runtime"
 	"runtime/debug"
 	"strings"
 	"sync"
@@ -21,6 +20,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctegress"
+	"kingcupturn/io/kctfake"
 	"kingcupturn/io/kcttimer"
 )
 
@@ -393,7 +393,7 @@
 			debug.FreeOSMemory()
 			k := client(t)
 			stop, peak := make(chan struct{}), make(chan uint64)
-			go func() { peak <- heapPeak(stop) }()
+			go func() { peak <- kctfake.HeapPeak(stop) }()
 			var group, connected sync.WaitGroup
 			connected.Add(servers)
 			for range servers {
@@ -420,18 +420,3 @@
 		})
 	}
 }
-
-// heapPeak returns the largest heap in use, sampled until stop is closed.
-func heapPeak(stop <-chan struct{}) uint64 {
-	var peak uint64
-	for {
-		var m runtime.MemStats
-		runtime.ReadMemStats(&m)
-		peak = max(peak, m.HeapInuse)
-		select {
-		case <-stop:
-			return peak
-		case <-time.After(5 * time.Millisecond):
-		}
-	}
-}
