--- a/io/kctbody/body.go
+++ b/io/kctbody/body.go
@@ -53,23 +53,21 @@
 	}
 	steps, size := [][]byte{body}, len(body)
 	defer func() { r.release((len(steps) - 1) * bodyStep) }()
-	for {
-		if size > limit {
-			return nil, eris.Wrapf(kctport.ErrMismatch, "answer of more than %d bytes", limit)
-		}
+	for size <= limit {
 		if !r.reserve() {
 			return nil, eris.Wrapf(kctport.ErrMismatch, "answer of more than %d bytes while others take the memory for such bodies", size)
 		}
 		step := make([]byte, bodyStep)
 		n, err := fill(step, from)
 		steps, size = append(steps, step[:n]), size+n
-		if err == io.EOF {
+		if err == io.EOF && size <= limit {
 			return bytes.Join(steps, nil), nil
 		}
-		if err != nil {
+		if err != nil && err != io.EOF {
 			return nil, err
 		}
 	}
+	return nil, eris.Wrapf(kctport.ErrMismatch, "answer of more than %d bytes", limit)
 }
 
 // fill reads until the buffer is full. Unlike io.ReadFull it returns io.EOF at the end of the body, and so leaves io.ErrUnexpectedEOF for a body that
