--- a/core/kctbalance/limit.go
+++ b/core/kctbalance/limit.go
@@ -3,11 +3,11 @@
 import (
 	"cmp"
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"time"
 
 	kctport "kingcupturn"
+	"kingcupturn/core/kctmember"
 )
 
 const (
@@ -132,25 +132,16 @@
 
 // limitRank returns this entry's place among the active entries in the order of an endpoint.
 func (b *Balancer) limitRank(fleet *kctport.Fleet, id kctport.InstanceID) int {
-	own := limitScore(id, b.self)
+	own := kctmember.Score(string(id), b.self)
 	rank := 0
 	for _, e := range fleet.Active {
-		if e.ID != b.self && cmp.Or(cmp.Compare(limitScore(id, e.ID), own), cmp.Compare(e.ID, b.self)) > 0 {
+		if e.ID != b.self && cmp.Or(cmp.Compare(kctmember.Score(string(id), e.ID), own), cmp.Compare(e.ID, b.self)) > 0 {
 			rank++
 		}
 	}
 	return rank
 }
 
-func limitScore(endpoint, entry kctport.InstanceID) uint64 {
-	h := fnv.New64a()
-	// A hash's Write never fails.
-	_, _ = h.Write([]byte(endpoint))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(entry))
-	return h.Sum64()
-}
-
 // Room is what the limits of a service's endpoints leave for one more request of this entry.
 type Room struct {
 	// Wait is the time until an endpoint may get the request, 0 when one may now or when limits are not the cause.
