--- a/core/kctforward/room.go
+++ b/core/kctforward/room.go
@@ -38,7 +38,7 @@
 		if room.Wait > roomWait {
 			blocked++
 		}
-		if room.Wait > roomWait || room.Scarce && room.Fill < scarceFill {
+		if room.Wait > roomWait || isScarce(room) {
 			scarce = append(scarce, scarcity{p, room})
 		}
 	}
@@ -85,7 +85,11 @@
 
 // isScarce reports whether the endpoints of a part's shard take so few requests that a hedge would take the place of another request.
 func (c *call) isScarce(now time.Time, p *part) bool {
-	return c.engine.balancer.Limited() > 0 && c.engine.balancer.Room(now, c.currentFleet(), p.service).Scarce
+	return c.engine.balancer.Limited() > 0 && isScarce(c.engine.balancer.Room(now, c.currentFleet(), p.service))
+}
+
+func isScarce(r kctbalance.Room) bool {
+	return r.Scarce && r.Fill < scarceFill
 }
 
 // leftOutDetail says why the answer lacks the part, empty when it did not arrive in time.
