Send parts that were left out only when the answered ones don't reach the coverage

Found by reading: at half of the objective a late part brought back all parts that were left out, also when the answer had its minimum coverage already.

--- a/core/kctforward/decide.go
+++ b/core/kctforward/decide.go
@@ -121,8 +121,8 @@
 	return kctport.Reply{}, false
 }
 
-func (c *call) decideGather(now time.Time, expired bool) (kctport.Reply, bool) {
-	answered, open := 0, 0
+// progress returns the number of parts that are answered and of those that may still be.
+func (c *call) progress() (answered, open int) {
 	for _, p := range c.parts {
 		switch {
 		case p.response != nil:
@@ -131,6 +131,11 @@
 			open++
 		}
 	}
+	return answered, open
+}
+
+func (c *call) decideGather(now time.Time, expired bool) (kctport.Reply, bool) {
+	answered, open := c.progress()
 	enough := c.meetsCoverage(answered)
 	switch {
 	case answered == len(c.parts), enough && (open == 0 || expired || !now.Before(c.softDeadline)):
--- a/core/kctforward/room.go
+++ b/core/kctforward/room.go
@@ -67,8 +67,13 @@
 	return len(c.parts) - max(1, needed)
 }
 
-// includeLeftOut sends the parts that were left out when others are late or have failed, as far as there is room now; it reports whether any was sent.
+// includeLeftOut sends the parts that were left out when others are late or have failed and the answered ones don't reach the minimum coverage, as far
+// as there is room now; it reports whether any was sent.
 func (c *call) includeLeftOut() bool {
+	answered, _ := c.progress()
+	if c.meetsCoverage(answered) {
+		return false
+	}
 	included := false
 	for _, p := range c.parts {
 		if !p.leftOut {
