--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -107,27 +107,27 @@
 
 // contact is a reply of the store to this entry or to the reader that it follows.
 type contact struct {
-	// news is when the store's changes were received, reply when the store answered at all.
-	news  time.Time
-	reply time.Time
+	// changes is when the store's changes were received, reply when the store answered at all.
+	changes time.Time
+	reply   time.Time
 	// steadySince is since when the store has answered without interruption.
 	steadySince time.Time
 }
 
-// ownContact returns the contact of a call of this entry that was answered now; without news it is a call other than a watch or a reading.
-func (s *state) ownContact(now time.Time, news bool) contact {
+// ownContact returns the contact of a call of this entry that was answered now; withChanges is set for a watch or a reading, which also bring the store's changes.
+func (s *state) ownContact(now time.Time, withChanges bool) contact {
 	if s.ownSince.IsZero() || now.Sub(s.ownReply) >= s.lapseTime {
 		s.ownSince = now
 	}
 	s.ownReply = now
-	c := contact{news: s.lastContact, reply: now, steadySince: s.ownSince}
-	if news {
-		c.news = now
+	c := contact{changes: s.lastContact, reply: now, steadySince: s.ownSince}
+	if withChanges {
+		c.changes = now
 	}
 	return c
 }
 
-// recordReply records an answer of the store to this entry that brings no news of its records.
+// recordReply records an answer of the store to this entry that brings no changes.
 func (s *state) recordReply(now time.Time) []event {
 	c := s.ownContact(now, false)
 	if s.lastContact.IsZero() {
@@ -152,9 +152,9 @@
 		s.steadySince = c.steadySince
 	}
 	s.storeUnreachable = false
-	s.lastContact, s.lastReply = latest(s.lastContact, c.news), latest(s.lastReply, c.reply)
+	s.lastContact, s.lastReply = latest(s.lastContact, c.changes), latest(s.lastReply, c.reply)
 	if !s.reconnectedAt.IsZero() {
-		s.judgeInterruption(c.steadySince)
+		s.resolveInterruption(c.steadySince)
 	}
 	if !wasUnreachable {
 		return nil
@@ -162,9 +162,9 @@
 	return []event{e}
 }
 
-// judgeInterruption decides whether records may have expired while the source was without contact. They can't when another source was in contact
+// resolveInterruption decides whether records may have expired while the source was without contact. They can't when another source was in contact
 // by then, or so soon after that a live endpoint would have renewed its record in time: then only the former source had lost the store.
-func (s *state) judgeInterruption(steadySince time.Time) {
+func (s *state) resolveInterruption(steadySince time.Time) {
 	if steadySince.Sub(s.interruptedAt) >= s.lapseTime {
 		s.steadySince = s.reconnectedAt
 		return
@@ -261,7 +261,7 @@
 
 func (s *state) removeRecord(now time.Time, old *record, c kctport.RegistryChange) []event {
 	if old == nil {
-		s.bury(now, c.Key, c.Revision)
+		s.addTombstone(now, c.Key, c.Revision)
 		return nil
 	}
 	if c.Revision < old.Revision {
@@ -287,11 +287,11 @@
 	delete(s.records, key)
 	delete(s.moveRecords, key)
 	delete(s.lapsed, key)
-	s.bury(now, key, removal)
+	s.addTombstone(now, key, removal)
 }
 
-// bury leaves a tombstone.
-func (s *state) bury(now time.Time, key string, removal kctport.StoreRevision) {
+// addTombstone records the revision of a removal.
+func (s *state) addTombstone(now time.Time, key string, removal kctport.StoreRevision) {
 	s.tombstones[key] = tombstone{removal: max(removal, s.tombstones[key].removal), at: now}
 }
 
