Log whom an entry follows, what that one says of the store, and whence rules came

A line says now which entry is followed and what its feed says of the store, whether an entry that is subscribed to watches the store itself, and from whom and how old the news was that brought rules into force.

No decision uses the new fields.

--- a/core/kctfleet/follow.go
+++ b/core/kctfleet/follow.go
@@ -21,6 +21,10 @@
 
 // followStore reads the store and then watches it until the context ends; after a gap in the store's history it reads everything again.
 func (c *Controller) followStore(ctx context.Context) {
+	defer c.update(context.WithoutCancel(ctx), func(s *state, _ time.Time) []event {
+		s.watching = false
+		return nil
+	})
 	for ctx.Err() == nil {
 		l, err := c.registry.Load(ctx)
 		if err != nil {
@@ -28,6 +32,10 @@
 			continue
 		}
 		c.applyLoaded(ctx, l)
+		c.update(ctx, func(s *state, _ time.Time) []event {
+			s.watching = true
+			return nil
+		})
 		c.watchStore(ctx, l.Revision)
 	}
 }
@@ -35,6 +43,7 @@
 // applyLoaded applies a complete reading of the store.
 func (c *Controller) applyLoaded(ctx context.Context, l kctport.RegistryState) {
 	c.update(ctx, func(s *state, now time.Time) []event {
+		s.source = s.self.ID
 		events := s.recordContact(now, s.ownContact(now, true))
 		return append(events, s.applyFull(now, l.Changes, l.Revision)...)
 	})
@@ -54,6 +63,7 @@
 		}
 		after = revision
 		c.update(ctx, func(s *state, now time.Time) []event {
+			s.source = s.self.ID
 			events := s.recordContact(now, s.ownContact(now, true))
 			for _, change := range changes {
 				events = append(events, s.apply(now, change)...)
--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	kctport "kingcupturn"
@@ -30,7 +31,7 @@
 		c.subscribers[u] = true
 		u.enqueue(u.firstUpdate(s, now))
 		s.members.set(kctport.FeedMember{Origin: s.self.ID, Entry: entry})
-		return []event{{message: "entry subscribed", key: string(entry.ID)}}
+		return []event{{message: "entry subscribed", key: string(entry.ID), detail: fmt.Sprintf("this entry watches the store: %t", s.watching)}}
 	})
 	if !registered {
 		u.closeOnce()
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -265,7 +266,10 @@
 	var unreachableSince time.Time
 	apply := func(f kctport.FeedUpdate) {
 		now := c.timer.Now()
-		usable = usable || !f.StoreUnreachable || acceptUnreachable
+		if !usable && (!f.StoreUnreachable || acceptUnreachable) {
+			usable = true
+			c.log.LogChange("following entry", string(reader.ID), describeFeed(f), 0)
+		}
 		switch {
 		case !f.StoreUnreachable:
 			unreachableSince = time.Time{}
@@ -277,7 +281,10 @@
 			readerUnreachable = true
 			cancel(errChangeSource)
 		}
-		c.update(ctx, func(s *state, now time.Time) []event { return s.applyFeedUpdate(now, f) })
+		c.update(ctx, func(s *state, now time.Time) []event {
+			s.source = reader.ID
+			return s.applyFeedUpdate(now, f)
+		})
 		if !f.Full && c.zoneWithoutReader(*c.readers.Load()) && now.Sub(c.lastClaim) > claimInterval {
 			c.lastClaim = now
 			cancel(errChangeSource)
@@ -300,6 +307,12 @@
 	return usable
 }
 
+// describeFeed describes what an update says of the store, for the log.
+func describeFeed(f kctport.FeedUpdate) string {
+	return fmt.Sprintf("store unreachable %t, age %v, last reply %v before, revision %d",
+		f.StoreUnreachable, f.StoreAge.Round(time.Millisecond), f.StoreSilence.Round(time.Millisecond), f.Revision)
+}
+
 // applyFeedUpdate applies an update from a reader.
 func (s *state) applyFeedUpdate(now time.Time, f kctport.FeedUpdate) []event {
 	var events []event
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -65,8 +65,11 @@
 	rulesChange kctport.RegistryChange
 	// lastContact is when the store's changes were last received, and lastReply when the store last answered at all, to this entry or to the reader
 	// that it follows.
-	lastContact      time.Time
-	lastReply        time.Time
+	lastContact time.Time
+	lastReply   time.Time
+	// source is the entry from which the last state came, this entry for its own calls, and watching is set while this entry watches the store.
+	source           kctport.InstanceID
+	watching         bool
 	storeUnreachable bool
 	// lapseTime is the shortest outage of the store in which the record of a live endpoint can expire.
 	lapseTime time.Duration
@@ -226,7 +229,7 @@
 		return nil
 	}
 	if c.Kind == kctport.RecordRules {
-		return s.adoptRules(c)
+		return s.adoptRules(now, c)
 	}
 	old := s.records[c.Key]
 	if c.Deleted {
@@ -247,7 +250,7 @@
 }
 
 // adoptRules puts rules in force if their version is newer than the one in force.
-func (s *state) adoptRules(c kctport.RegistryChange) []event {
+func (s *state) adoptRules(now time.Time, c kctport.RegistryChange) []event {
 	if c.Rules == nil {
 		return []event{{message: "rules unusable", key: c.Key, detail: c.Problem}}
 	}
@@ -256,7 +259,8 @@
 	}
 	s.rules, s.table, s.rulesChange = c.Rules, kctroutetable.NewTable(c.Rules), c
 	s.outbox = append(s.outbox, c)
-	return []event{{message: "rules adopted", key: c.Key, version: c.Rules.Version}}
+	detail := fmt.Sprintf("from %s, store age %v", s.source, storeAge(now, s.lastContact).Round(time.Millisecond))
+	return []event{{message: "rules adopted", key: c.Key, version: c.Rules.Version, detail: detail}}
 }
 
 func (s *state) removeRecord(now time.Time, old *record, c kctport.RegistryChange) []event {
