--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -364,8 +364,19 @@
 	return readers, errors.Join(err, s.call(ctx, 0))
 }
 
+func (s *storeLink) Grant(ctx context.Context, _ time.Duration) (kctport.Lease, error) {
+	return "1", s.call(ctx, 0)
+}
+
 func (s *storeLink) Renew(ctx context.Context, _ kctport.Lease) error { return s.call(ctx, 0) }
 
+func (s *storeLink) Claim(ctx context.Context, e kctport.EntryRecord, lease kctport.Lease) error {
+	if err := s.call(ctx, 0); err != nil {
+		return err
+	}
+	return s.registry.Claim(ctx, e, lease)
+}
+
 // TestReaderWithoutStore guards against entries that stay with a reader which the store refuses while it serves another reader: rules came
 // into force 8 s late there.
 func TestReaderWithoutStore(t *testing.T) {
@@ -583,3 +594,38 @@
 		}
 	}
 }
+
+// applyBound is the users' bound on the time until a change of the rules is in force (config-apply-ms).
+const applyBound = 3 * time.Second
+
+// TestChangeDuringOutage guards against entries that follow each other after an outage of the store while none of them watches it: the readers' claims
+// were refused because their own records were still there, each of them then took another entry's feed for that of a reader, and a change of the rules
+// from the time of the outage was missed until the records expired. The outages end in different phases of the readers' calls.
+func TestChangeDuringOutage(t *testing.T) {
+	for outage := 3500 * time.Millisecond; outage < 5*time.Second; outage += 100 * time.Millisecond {
+		t.Run(outage.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1, quiet: true}
+				links, all, stop := startLinked(t, store, "x", "y", "z", "x", "y", "z")
+				time.Sleep(maxWatchWait)
+				for _, l := range links {
+					l.silent.Store(true)
+				}
+				time.Sleep(outage)
+				store.mu.Lock()
+				store.rules = 2
+				store.mu.Unlock()
+				for _, l := range links {
+					l.silent.Store(false)
+				}
+				time.Sleep(applyBound)
+				for i, c := range all {
+					if version(c) != 2 {
+						t.Errorf("entry %d: version %d %v after the outage, want 2", i, version(c), applyBound)
+					}
+				}
+				stop()
+			})
+		})
+	}
+}
