Replace the entry's own record when it claims its zone

An entry whose former claim was still on record, after a restart, a claim whose answer was lost, or an outage in which leases pause, was refused by itself: the zone stayed without a reader until that lease ended.

--- a/forward.go
+++ b/forward.go
@@ -144,7 +144,8 @@
 	Revoke(ctx context.Context, lease Lease) error
 	// Readers lists the entries that read the store for their zones.
 	Readers(ctx context.Context) ([]EntryRecord, error)
-	// Claim makes an entry the reader of its zone while the lease lasts; ErrConflict means that the zone already has one.
+	// Claim makes an entry the reader of its zone while the lease lasts; ErrConflict means that another entry is. A record of the same entry, such as
+	// that of its former lease, is replaced.
 	Claim(ctx context.Context, entry EntryRecord, lease Lease) error
 	// SaveMove writes the progress of a move and the status for the operator, which shows the end of a move only once it is announced. It
 	// fails with ErrConflict when the record's revision isn't the expected one, 0 for a new record.
