Count the time that a feed's update waits at its sender for its age

An update that waited for the acknowledgement of the one before it was taken for younger than it was, by the time of its wait: on a slow link an entry used old rules as current ones. An update that came without a wait was taken for older, by the time since the last one: 0.4 s at most on a quiet feed.

The sender adds the wait to the ages, and tells for how long it held the update back since the acknowledgement; the subscriber subtracts that from the time since it acknowledged, so that what remains is the way of both.

TestQueuedUpdate fails without the change (the second update 0 s old though it waited 300 ms).

--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -110,7 +110,7 @@
 func (s *state) update(now time.Time) kctport.FeedUpdate {
 	return kctport.FeedUpdate{
 		StoreUnreachable: s.storeUnreachable, StoreAge: storeAge(now, s.lastContact), StoreSilence: storeAge(now, s.lastReply),
-		StoreSteady: s.storeSteady(now), Revision: s.revision,
+		StoreSteady: s.storeSteady(now), Revision: s.revision, Made: now,
 	}
 }
 
--- a/feed.go
+++ b/feed.go
@@ -46,6 +46,8 @@
 	StoreSteady time.Duration
 	// Revision is the store's revision up to which the reader has all changes; 0 when not reported.
 	Revision StoreRevision
+	// Made is when the sender made the update, by its own clock; zero at the subscriber, where the ages are those on arrival.
+	Made time.Time
 }
 
 // Feed is the port to other entries that are readers of the store.
--- a/io/kctfeed/client.go
+++ b/io/kctfeed/client.go
@@ -72,8 +72,8 @@
 	}
 }
 
-// receive passes updates to handle and acknowledges each. The reader sends the next update only then, so an update was made after the
-// last acknowledgement, and the time since then covers any transmission delay.
+// receive passes updates to handle and acknowledges each. The sender sends the next update only then, so that the time since the last acknowledgement,
+// less the time for which the sender held the update back, covers any transmission delay.
 func (c *Client) receive(s *kctmux.Stream, acknowledged time.Time, handle func(kctport.FeedUpdate)) error {
 	for {
 		var m kctproto.FeedUpdate
@@ -84,7 +84,7 @@
 		if err != nil {
 			return err
 		}
-		delay := c.timer.Now().Sub(acknowledged)
+		delay := max(0, c.timer.Now().Sub(acknowledged)-time.Duration(m.GetHeld()))
 		f.StoreAge += delay
 		f.StoreSilence += delay
 		handle(f)
--- a/io/kctfeed/feed_test.go
+++ b/io/kctfeed/feed_test.go
@@ -25,6 +25,7 @@
 	updates    []kctport.FeedUpdate
 	heartbeats chan kctport.EntryRecord
 	ended      chan struct{}
+	last       chan kctport.FeedUpdate
 }
 
 type subscription struct {
@@ -32,9 +33,17 @@
 	out chan kctport.FeedUpdate
 }
 
+// send sends an update to the last subscriber.
+func (s *source) send(f kctport.FeedUpdate) {
+	f.Made = time.Now()
+	s.last <- f
+}
+
 func (s *source) Subscribe(context.Context, kctport.EntryRecord) kctport.FeedSubscription {
 	u := &subscription{s, make(chan kctport.FeedUpdate, 16)}
+	s.last = u.out
 	for _, f := range s.updates {
+		f.Made = time.Now()
 		u.out <- f
 	}
 	return u
@@ -79,7 +88,7 @@
 		{Changes: []kctport.RegistryChange{{Key: "small", Value: []byte("v"), Revision: 8}, {Key: "large", Revision: 9, Deleted: true}}, StoreUnreachable: true, StoreAge: time.Minute, StoreSteady: time.Hour, Revision: 9},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
-	served, err := kctfeed.NewServer(address, s).Start(ctx)
+	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -114,7 +123,7 @@
 	address := freeAddress(t)
 	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
-	served, err := kctfeed.NewServer(address, s).Start(ctx)
+	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -140,7 +149,7 @@
 	address := freeAddress(t)
 	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{{Full: true}, {StoreAge: time.Millisecond}}}
 	ctx, cancel := context.WithCancel(context.Background())
-	served, err := kctfeed.NewServer(address, s).Start(ctx)
+	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -169,3 +178,41 @@
 	cancel()
 	<-served
 }
+
+// TestQueuedUpdate guards against an update that is taken for younger than it is, because the time during which it waited for the acknowledgement of the
+// one before is not counted, and against one that is taken for older by the time between two updates.
+func TestQueuedUpdate(t *testing.T) {
+	const wait = 300 * time.Millisecond
+	address := freeAddress(t)
+	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{{Full: true}, {}}}
+	ctx, cancel := context.WithCancel(context.Background())
+	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	follow, stop := context.WithCancel(ctx)
+	var ages []time.Duration
+	entry := kctport.EntryRecord{ID: "m", Caller: address, Peer: address}
+	err = kctfeed.NewClient(kcttimer.New(), decode).Follow(follow, kctport.EntryRecord{ID: "r", Peer: address},
+		func() kctport.EntryRecord { return entry }, func(f kctport.FeedUpdate) {
+			switch ages = append(ages, f.StoreAge); len(ages) {
+			case 1:
+				// The second update waits at the sender.
+				time.Sleep(wait)
+			case 2:
+				go func() {
+					time.Sleep(wait)
+					s.send(kctport.FeedUpdate{})
+				}()
+			case 3:
+				stop()
+			}
+		})
+	stop()
+	if err == nil || len(ages) != 3 || ages[1] < wait || ages[2] >= wait {
+		t.Errorf("store ages %v, error %v; want three updates, the second at least and the third less than %v old", ages, err, wait)
+	}
+	<-s.ended
+	cancel()
+	<-served
+}
--- a/io/kctfeed/server.go
+++ b/io/kctfeed/server.go
@@ -15,12 +15,13 @@
 type Server struct {
 	address netip.AddrPort
 	source  kctport.FeedSource
+	timer   kctport.Timer
 	encoder *encoder
 }
 
 // NewServer returns a server that doesn't listen before Start.
-func NewServer(address netip.AddrPort, source kctport.FeedSource) *Server {
-	return &Server{address: address, source: source, encoder: newEncoder()}
+func NewServer(address netip.AddrPort, source kctport.FeedSource, timer kctport.Timer) *Server {
+	return &Server{address: address, source: source, timer: timer, encoder: newEncoder()}
 }
 
 // Start listens until the context ends; the channel closes when all feeds have ended. An error wraps ErrUnavailable.
@@ -78,14 +79,23 @@
 }
 
 // write sends each update once the one before is acknowledged, until the subscription or the stream ends; its goroutine then closes the stream, which
-// also ends read.
+// also ends read. The time that an update waited here counts for its age, and the time since the acknowledgement is told, so that the subscriber
+// can work out how long the update was on its way.
 func (s *Server) write(st *kctmux.Stream, updates <-chan kctport.FeedUpdate, acknowledged <-chan struct{}) {
+	allowed := s.timer.Now()
 	for f := range updates {
-		if err := st.Send(s.encoder.encodeUpdate(f)); err != nil {
+		now := s.timer.Now()
+		waited := now.Sub(f.Made)
+		f.StoreAge += waited
+		f.StoreSilence += waited
+		m := s.encoder.encodeUpdate(f)
+		m.Held = int64(now.Sub(allowed))
+		if err := st.Send(m); err != nil {
 			return
 		}
 		if _, ok := <-acknowledged; !ok {
 			return
 		}
+		allowed = s.timer.Now()
 	}
 }
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -146,7 +146,7 @@
 	control := n.control.Run(work)
 	egress := n.egress.Run(work)
 	usage := n.usage.Run(work)
-	feeds, err := kctfeed.NewServer(n.settings.Peer, n.control).Start(work)
+	feeds, err := kctfeed.NewServer(n.settings.Peer, n.control, n.timer).Start(work)
 	if err != nil {
 		return err
 	}
