--- a/core/kctfleet/bench_test.go
+++ b/core/kctfleet/bench_test.go
@@ -37,8 +37,7 @@
 
 // sizedState returns a state with n endpoints in services of 17, and one entry for every 17 endpoints.
 func sizedState(n int) *state {
-	s := newState(kctport.EntryRecord{ID: "e", Zone: "z"})
-	s.recordContact(start, contact{start, start, start})
+	s := newTestState(kctport.EntryRecord{ID: "e", Zone: "z"})
 	for i := range n {
 		s.apply(start, sizedEndpoint(i, kctport.StoreRevision(i+1)))
 	}
--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -44,10 +45,12 @@
 	watchWait time.Duration
 	// heartbeat is how often endpoints write their records.
 	heartbeat time.Duration
-	// lastClaim is when the source goroutine last tried to become the zone's reader.
-	lastClaim time.Time
-	// feedFailures is when each reader's feed last failed; only the source goroutine uses it.
-	feedFailures map[kctport.InstanceID]time.Time
+	// maxAge is the age of the state beyond which this entry is no longer in contact with the store.
+	maxAge time.Duration
+	// contact is the contact with the store as last published, and contactChanged tells the source goroutine of its changes.
+	contact        atomic.Pointer[contactView]
+	contactChanged chan struct{}
+	checker        kctport.Checker
 
 	onPublish []func(*kctport.Fleet)
 	// observations are attempts at endpoints of services with a running move, on their way to the control goroutine.
@@ -55,9 +58,19 @@
 	// pendingSaves counts the writes of moves in progress.
 	pendingSaves sync.WaitGroup
 	// The fields below belong to the control goroutine.
-	subscribers     map[*subscription]bool
-	nextHeartbeat   time.Time
-	sentUnreachable bool
+	subscribers   map[*subscription]bool
+	nextHeartbeat time.Time
+	// sentWatcher and sentComplete are what subscribers were last told of the contact with the store.
+	sentWatcher  kctport.InstanceID
+	sentComplete time.Time
+}
+
+// contactView is what the source goroutine needs to know of the contact with the store.
+type contactView struct {
+	// lostSince is when contact was lost, zero while there is contact.
+	lostSince time.Time
+	// ownAnswers is set while this entry's own watch gets answers.
+	ownAnswers bool
 }
 
 // Option configures a Controller in New.
@@ -93,18 +106,29 @@
 	return func(c *Controller) { c.heartbeat = heartbeat }
 }
 
+// WithChecker sets the checker of invariants.
+func WithChecker(checker kctport.Checker) Option {
+	return func(c *Controller) { c.checker = checker }
+}
+
+type noChecker struct{}
+
+func (noChecker) Check(bool, string, string) {}
+
 // New returns a controller that does nothing before Run.
 func New(self kctport.EntryRecord, registry kctport.Registry, feed kctport.Feed, timer kctport.Timer, log Logger, opts ...Option) *Controller {
 	c := &Controller{
 		self: self, registry: registry, feed: feed, timer: timer, log: log, inbox: make(chan update), stopped: make(chan struct{}),
 		load: func() float64 { return 0 }, random: rand.New(rand.NewPCG(1, 1)), subscribers: map[*subscription]bool{},
-		feedFailures: map[kctport.InstanceID]time.Time{}, watchWait: maxWatchWait, heartbeat: defaultHeartbeat, observations: make(chan kctport.Observation, observationBuffer),
+		contactChanged: make(chan struct{}, 1), checker: noChecker{}, watchWait: maxWatchWait, heartbeat: defaultHeartbeat, observations: make(chan kctport.Observation, observationBuffer),
 	}
 	c.fleet.Store(&kctport.Fleet{LimitShares: 1, ActiveShares: 1})
 	c.readers.Store(&[]kctport.EntryRecord{})
+	c.contact.Store(&contactView{lostSince: timer.Now()})
 	for _, o := range opts {
 		o(c)
 	}
+	c.maxAge = c.watchWait + watchReserve + ageReserve
 	return c
 }
 
@@ -144,8 +168,7 @@
 
 // control applies updates one at a time and publishes the fleet state after each that changed something.
 func (c *Controller) control(ctx context.Context) {
-	s := newState(c.self)
-	s.lapseTime = lapseHeartbeats * c.heartbeat
+	s := newState(c.self, newStoreContact(c.self.ID, c.maxAge, lapseHeartbeats*c.heartbeat, c.timer.Now()))
 	s.assumeShares(c.zones*minActive, c.timer.Now())
 	ticks := c.timer.Subscribe(ctx, tickInterval)
 	for {
@@ -160,8 +183,10 @@
 			c.advanceMoves(ctx, s, c.timer.Now())
 		}
 		now := c.timer.Now()
+		events = append(events, s.contact.assess(now)...)
 		events = append(events, s.expire(now)...)
 		c.publish(s, now, len(events) > 0 || c.hasNewEvidence(s, now))
+		c.publishContact(s, now)
 		c.broadcast(s, now)
 		for _, e := range events {
 			if e.message != "" {
@@ -180,13 +205,14 @@
 	return nil
 }
 
-// publish publishes a new fleet state after a change; otherwise it updates only the time of the store's last contact.
+// publish publishes a new fleet state after a change; otherwise it updates only the contact with the store.
 func (c *Controller) publish(s *state, now time.Time, changed bool) {
 	old := c.fleet.Load()
 	if !changed && old.Draining == s.draining {
-		if !old.LastContact.Equal(s.lastContact) {
+		best, _ := s.contact.best(now)
+		if !old.LastContact.Equal(s.contact.complete) || old.Watcher != best.watcher || old.WatcherHops != best.hops {
 			f := *old
-			f.LastContact = s.lastContact
+			f.LastContact, f.Watcher, f.WatcherHops = s.contact.complete, best.watcher, best.hops
 			c.fleet.Store(&f)
 		}
 		return
@@ -200,6 +226,24 @@
 	}
 }
 
+// publishContact tells the source goroutine of a change of contact, and checks that an entry which counts as in contact can say who watches the store
+// and that its state is complete up to less than maxAge ago.
+func (c *Controller) publishContact(s *state, now time.Time) {
+	_, ownAnswers := s.contact.ownObservation(now)
+	v := contactView{lostSince: s.contact.lostSince, ownAnswers: ownAnswers}
+	f := c.Fleet()
+	age := now.Sub(f.LastContact)
+	c.checker.Check(!s.contact.inContact() || f.Watcher != "" && age <= c.maxAge, "contact with the store is current",
+		fmt.Sprintf("watched by %q, age %v", f.Watcher, age))
+	if old := c.contact.Swap(&v); *old == v {
+		return
+	}
+	select {
+	case c.contactChanged <- struct{}{}:
+	default:
+	}
+}
+
 // update passes a change to the control goroutine; it returns false when the context or the controller has ended.
 func (c *Controller) update(ctx context.Context, u update) bool {
 	select {
--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -51,6 +51,9 @@
 	if r.saved.Progress != nil {
 		l.Changes = append(l.Changes, r.saved)
 	}
+	for _, c := range slices.Concat(l.Changes, r.removed) {
+		l.Revision = max(l.Revision, c.Revision)
+	}
 	return l, r.check()
 }
 
@@ -70,7 +73,7 @@
 	l, err := r.Load(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append(l.Changes, r.removed...), after, err
+	return append(l.Changes, r.removed...), max(after, l.Revision), err
 }
 
 func (r *registry) removals() int {
@@ -111,7 +114,7 @@
 func (r *registry) Claim(_ context.Context, e kctport.EntryRecord, _ kctport.Lease) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, ok := r.readers[e.Zone]; ok {
+	if old, ok := r.readers[e.Zone]; ok && old.ID != e.ID {
 		return kctport.ErrConflict
 	}
 	if err := r.check(); err != nil {
@@ -163,6 +166,14 @@
 	}
 }
 
+func (f *linkedFeeds) Contact(ctx context.Context, entry, _ kctport.EntryRecord) (kctport.StoreContact, error) {
+	source := f.sources[entry.Peer.Port()]
+	if source == nil || isClosed(source.stopped) {
+		return kctport.StoreContact{}, kctport.ErrUnavailable
+	}
+	return source.Contact(ctx), nil
+}
+
 // countingLogger counts messages.
 type countingLogger struct {
 	mu     sync.Mutex
--- a/core/kctfleet/follow.go
+++ b/core/kctfleet/follow.go
@@ -13,6 +13,11 @@
 	maxWatchWait = 2500 * time.Millisecond
 	// watchWaitRatio limits the wait to a part of the time within which rules must be in force, so that a stalled connection can't delay them longer.
 	watchWaitRatio = 0.83
+	// watchReserve is the time beyond its wait within which a watch must return. The store replies within 0.25 s at the 60-fold slowdown of the site
+	// files; connections that have gone silent are noticed by it.
+	watchReserve = 300 * time.Millisecond
+	// rewatchWait is the wait of the first watch after one that got no answer: it shows soon whether the store is back.
+	rewatchWait = 100 * time.Millisecond
 	// watchPause batches changes, since each watch that returns is a billed call.
 	watchPause = 150 * time.Millisecond
 	// retryPause is the delay after a failed call of the store.
@@ -21,70 +26,64 @@
 
 // followStore reads the store and then watches it until the context ends; after a gap in the store's history it reads everything again.
 func (c *Controller) followStore(ctx context.Context) {
-	defer c.update(context.WithoutCancel(ctx), func(s *state, _ time.Time) []event {
-		s.watching = false
-		return nil
-	})
 	for ctx.Err() == nil {
 		l, err := c.registry.Load(ctx)
 		if err != nil {
-			c.handleStoreError(ctx, err)
+			c.recordStoreError(ctx, err)
+			c.pause(ctx, retryPause)
 			continue
 		}
-		c.applyLoaded(ctx, l)
-		c.update(ctx, func(s *state, _ time.Time) []event {
-			s.watching = true
-			return nil
+		c.update(ctx, func(s *state, now time.Time) []event {
+			s.contact.setWatching(true)
+			return s.applyLoaded(now, l)
 		})
 		c.watchStore(ctx, l.Revision)
+		c.update(context.WithoutCancel(ctx), func(s *state, now time.Time) []event {
+			s.contact.setWatching(false)
+			return s.contact.assess(now)
+		})
 	}
 }
 
-// applyLoaded applies a complete reading of the store.
-func (c *Controller) applyLoaded(ctx context.Context, l kctport.RegistryState) {
-	c.update(ctx, func(s *state, now time.Time) []event {
-		s.source = s.self.ID
-		events := s.recordContact(now, s.ownContact(now, true))
-		return append(events, s.applyFull(now, l.Changes, l.Revision)...)
-	})
-}
-
 // watchStore applies the store's changes until its history has a gap.
 func (c *Controller) watchStore(ctx context.Context, after kctport.StoreRevision) {
+	wait := c.watchWait
 	for ctx.Err() == nil {
-		changes, revision, err := c.registry.Watch(ctx, after, c.watchWait)
+		changes, revision, err := c.watchOnce(ctx, after, wait)
 		if errors.Is(err, kctport.ErrCompacted) {
 			c.log.LogChange("store history compacted", "", err.Error(), 0)
 			return
 		}
 		if err != nil {
-			c.handleStoreError(ctx, err)
+			c.recordStoreError(ctx, err)
+			if wait == rewatchWait {
+				c.pause(ctx, retryPause)
+			}
+			// The first repetition comes at once, since only this connection may have failed.
+			wait = rewatchWait
 			continue
 		}
-		after = revision
-		c.update(ctx, func(s *state, now time.Time) []event {
-			s.source = s.self.ID
-			events := s.recordContact(now, s.ownContact(now, true))
-			for _, change := range changes {
-				events = append(events, s.apply(now, change)...)
-			}
-			s.revision = max(s.revision, revision)
-			return events
-		})
+		after, wait = revision, c.watchWait
+		c.update(ctx, func(s *state, now time.Time) []event { return s.applyWatched(now, changes, revision) })
 		if len(changes) > 0 {
 			c.pause(ctx, watchPause)
 		}
 	}
 }
 
-// handleStoreError records a failed call of the store and waits before the next.
-func (c *Controller) handleStoreError(ctx context.Context, err error) {
+func (c *Controller) watchOnce(ctx context.Context, after kctport.StoreRevision, wait time.Duration) ([]kctport.RegistryChange, kctport.StoreRevision, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchReserve)
+	defer cancel()
+	return c.registry.Watch(ctx, after, wait)
+}
+
+// recordStoreError records a failed call of the store, unless this entry ended it.
+func (c *Controller) recordStoreError(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	c.update(ctx, func(s *state, now time.Time) []event {
-		s.ownSince = time.Time{}
-		return s.recordOutage(now, err.Error())
+		s.contact.ownFailure(err.Error())
+		return s.contact.assess(now)
 	})
-	c.pause(ctx, retryPause)
 }
--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -11,6 +11,9 @@
 // heartbeatInterval is how often subscribers get an update when nothing changes.
 const heartbeatInterval = 400 * time.Millisecond
 
+// ageTolerance is how much younger the state must have become for an update of its own; the ages that feeds tell vary by their round trips.
+const ageTolerance = 50 * time.Millisecond
+
 // subscription is one subscriber's feed; only the control goroutine sends on and closes updates while it runs.
 type subscription struct {
 	controller *Controller
@@ -31,7 +34,7 @@
 		c.subscribers[u] = true
 		u.enqueue(u.firstUpdate(s, now))
 		s.members.set(kctport.FeedMember{Origin: s.self.ID, Entry: entry})
-		return []event{{message: "entry subscribed", key: string(entry.ID), detail: fmt.Sprintf("this entry watches the store: %t", s.watching)}}
+		return []event{{message: "entry subscribed", key: string(entry.ID), detail: fmt.Sprintf("this entry watches the store: %t", s.contact.own.watching)}}
 	})
 	if !registered {
 		u.closeOnce()
@@ -95,29 +98,30 @@
 	return []event{{message: "entry unsubscribed", key: string(u.entry.ID)}}
 }
 
-// firstUpdate returns a full update, or only the store's unreachability while this entry has no state to send.
-func (u *subscription) firstUpdate(s *state, now time.Time) kctport.FeedUpdate {
-	if s.lastContact.IsZero() {
-		f := s.update(now)
-		f.StoreUnreachable = true
-		return f
+// Contact returns this entry's contact with the store, for an entry that looks for one to follow.
+func (c *Controller) Contact(ctx context.Context) kctport.StoreContact {
+	answer := make(chan kctport.StoreContact, 1)
+	if !c.update(ctx, func(s *state, now time.Time) []event {
+		answer <- s.contact.report(now)
+		return nil
+	}) {
+		return kctport.StoreContact{Age: storeAge(time.Time{}, time.Time{}), Silence: storeAge(time.Time{}, time.Time{})}
 	}
-	u.sentFull = true
-	return s.fullState(now)
+	return <-answer
 }
 
-// update returns an update without records and members.
-func (s *state) update(now time.Time) kctport.FeedUpdate {
-	return kctport.FeedUpdate{
-		StoreUnreachable: s.storeUnreachable, StoreAge: storeAge(now, s.lastContact), StoreSilence: storeAge(now, s.lastReply),
-		StoreSteady: s.storeSteady(now), Revision: s.revision, Made: now,
+// firstUpdate returns a full update, or only the contact with the store while this entry has no state to send.
+func (u *subscription) firstUpdate(s *state, now time.Time) kctport.FeedUpdate {
+	if s.contact.complete.IsZero() {
+		return kctport.FeedUpdate{Store: s.contact.report(now), Made: now}
 	}
+	u.sentFull = true
+	return s.fullState(now)
 }
 
 // fullState returns all records and members.
 func (s *state) fullState(now time.Time) kctport.FeedUpdate {
-	f := s.update(now)
-	f.Full, f.Members = true, s.members.fullState()
+	f := kctport.FeedUpdate{Full: true, Members: s.members.fullState(), Store: s.contact.report(now), Made: now}
 	if s.rules != nil {
 		f.Changes = append(f.Changes, s.rulesChange)
 	}
@@ -127,33 +131,19 @@
 	return f
 }
 
-// storeAge returns the time since a contact with the store, an hour without any.
-func storeAge(now, contact time.Time) time.Duration {
-	if contact.IsZero() {
-		return time.Hour
-	}
-	return now.Sub(contact)
-}
-
-// storeSteady returns the time since the contact with the store was last interrupted.
-func (s *state) storeSteady(now time.Time) time.Duration {
-	if s.storeUnreachable || s.steadySince.IsZero() {
-		return 0
-	}
-	return now.Sub(s.steadySince)
-}
-
 // broadcast sends subscribers what has changed, or a heartbeat when one is due.
 func (c *Controller) broadcast(s *state, now time.Time) {
 	recordChanges, memberChanges := s.outbox, s.members.outbox
 	s.outbox, s.members.outbox = nil, nil
-	due := !now.Before(c.nextHeartbeat) || s.storeUnreachable != c.sentUnreachable
+	contact := s.contact.report(now)
+	// A watch that returns makes the state of all that depend on it younger, so that it isn't left to the next heartbeat.
+	isNews := contact.Watcher != c.sentWatcher || contact.Watcher != "" && now.Add(-contact.Age).Sub(c.sentComplete) > ageTolerance
+	due := !now.Before(c.nextHeartbeat) || isNews
 	if len(recordChanges) == 0 && len(memberChanges) == 0 && !due {
 		return
 	}
-	c.nextHeartbeat, c.sentUnreachable = now.Add(heartbeatInterval), s.storeUnreachable
-	f := s.update(now)
-	f.Changes, f.Members = recordChanges, memberChanges
+	c.nextHeartbeat, c.sentWatcher, c.sentComplete = now.Add(heartbeatInterval), contact.Watcher, now.Add(-contact.Age)
+	f := kctport.FeedUpdate{Changes: recordChanges, Members: memberChanges, Store: contact, Made: now}
 	for u := range c.subscribers {
 		g := f
 		if !u.sentFull {
--- a/core/kctfleet/members.go
+++ b/core/kctfleet/members.go
@@ -74,18 +74,23 @@
 	return changed
 }
 
-// markUnreachable starts the grace period of an origin that is no longer reachable.
-func (m *members) markUnreachable(origin kctport.InstanceID, now time.Time) {
-	if _, ok := m.unreachableSince[origin]; !ok && len(m.origins[origin]) > 0 {
-		m.unreachableSince[origin] = now
+// apply stores the members of an update of the origins that accept selects, and reports whether that changed anything.
+func (m *members) apply(f kctport.FeedUpdate, accept func(origin kctport.InstanceID) bool) bool {
+	if f.Full {
+		return m.replace(f.Members, accept)
 	}
+	changed := false
+	for _, member := range f.Members {
+		changed = accept(member.Origin) && m.set(member) || changed
+	}
+	return changed
 }
 
-// markAllUnreachable starts a longer grace period for all origins but this entry, until another source reports them.
-func (m *members) markAllUnreachable(now time.Time) {
-	for origin := range m.origins {
-		if origin != m.self {
-			m.markUnreachable(origin, now.Add(sourceChangeGrace))
+// markUnreachable starts the grace period of the origins that accept selects, until another source reports them.
+func (m *members) markUnreachable(now time.Time, accept func(origin kctport.InstanceID) bool) {
+	for origin, entries := range m.origins {
+		if _, ok := m.unreachableSince[origin]; !ok && origin != m.self && len(entries) > 0 && accept(origin) {
+			m.unreachableSince[origin] = now
 		}
 	}
 }
--- /dev/null
+++ b/core/kctfleet/record.go
@@ -0,0 +1,177 @@
+package kctfleet
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	kctport "kingcupturn"
+	"kingcupturn/core/kctroutetable"
+)
+
+// tombstoneRetention is longer than an entry with an old state stays in use.
+const tombstoneRetention = 5 * time.Minute
+
+// record is a key of the store as last received.
+type record struct {
+	kctport.RegistryChange
+	// readAt is when the record was read.
+	readAt time.Time
+	// missingSince is when the key was reported deleted during an outage, and removal the revision of that; zero while it is present.
+	missingSince time.Time
+	removal      kctport.StoreRevision
+}
+
+// isNewer reports whether the record, or its removal, is newer than a change; a record that is missing may come back unchanged.
+func (r *record) isNewer(c kctport.RegistryChange) bool {
+	return c.Revision < r.Revision || c.Revision == r.Revision && r.missingSince.IsZero() || c.Revision <= r.removal
+}
+
+// tombstone is a record that was removed.
+type tombstone struct {
+	// removal is the revision of the removal, or that of the complete reading which lacked the record.
+	removal kctport.StoreRevision
+	at      time.Time
+}
+
+// applyFull replaces all records by a complete reading as of a revision, 0 for an unknown one; older records missing from it are deleted.
+func (s *state) applyFull(now time.Time, changes []kctport.RegistryChange, revision kctport.StoreRevision) []event {
+	var events []event
+	present := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		present[c.Key] = true
+		events = append(events, s.apply(now, c)...)
+	}
+	for key, r := range s.records {
+		if present[key] || !r.missingSince.IsZero() || revision > 0 && r.Revision > revision {
+			continue
+		}
+		deletion := kctport.RegistryChange{Kind: r.Kind, Key: key, Zone: r.Zone, Revision: max(r.Revision, revision), Deleted: true}
+		events = append(events, s.apply(now, deletion)...)
+		if revision == 0 {
+			// The record may be newer than the reading, so that it may come back unchanged.
+			r.removal = 0
+			delete(s.tombstones, key)
+		}
+	}
+	return events
+}
+
+// apply applies one change; an older revision of a key never replaces a newer one.
+func (s *state) apply(now time.Time, c kctport.RegistryChange) []event {
+	if c.Kind == kctport.RecordOther {
+		return nil
+	}
+	if c.Kind == kctport.RecordRules {
+		return s.adoptRules(now, c)
+	}
+	old := s.records[c.Key]
+	if c.Deleted {
+		return s.removeRecord(now, old, c)
+	}
+	if old != nil && old.isNewer(c) || old == nil && c.Revision <= s.tombstones[c.Key].removal {
+		return nil
+	}
+	delete(s.tombstones, c.Key)
+	r := &record{RegistryChange: c, readAt: now}
+	s.records[c.Key] = r
+	delete(s.lapsed, c.Key)
+	if c.Kind == kctport.RecordMove || c.Kind == kctport.RecordProgress {
+		s.moveRecords[c.Key] = r
+	}
+	s.outbox = append(s.outbox, c)
+	return []event{changeEvent(old, c)}
+}
+
+// adoptRules puts rules in force if their version is newer than the one in force.
+func (s *state) adoptRules(now time.Time, c kctport.RegistryChange) []event {
+	if c.Rules == nil {
+		return []event{{message: "rules unusable", key: c.Key, detail: c.Problem}}
+	}
+	if s.rules != nil && c.Rules.Version <= s.rules.Version {
+		return nil
+	}
+	s.rules, s.table, s.rulesChange = c.Rules, kctroutetable.NewTable(c.Rules), c
+	s.outbox = append(s.outbox, c)
+	detail := fmt.Sprintf("from %s, store age %v", s.source, storeAge(now, s.contact.complete).Round(time.Millisecond))
+	return []event{{message: "rules adopted", key: c.Key, version: c.Rules.Version, detail: detail}}
+}
+
+func (s *state) removeRecord(now time.Time, old *record, c kctport.RegistryChange) []event {
+	if old == nil {
+		s.addTombstone(now, c.Key, c.Revision)
+		return nil
+	}
+	if c.Revision < old.Revision {
+		return nil
+	}
+	if c.Kind == kctport.RecordEndpoint && s.contact.inLapseGrace(now) {
+		old.removal = max(old.removal, c.Revision)
+		if !old.missingSince.IsZero() {
+			return nil
+		}
+		old.missingSince = now
+		s.lapsed[c.Key] = old
+		s.outbox = append(s.outbox, c)
+		return []event{{message: "record lapsed during an outage of the store", key: c.Key}}
+	}
+	s.outbox = append(s.outbox, c)
+	s.drop(now, c.Key, c.Revision)
+	return []event{{message: "record gone", key: c.Key}}
+}
+
+// drop removes a record for good.
+func (s *state) drop(now time.Time, key string, removal kctport.StoreRevision) {
+	delete(s.records, key)
+	delete(s.moveRecords, key)
+	delete(s.lapsed, key)
+	s.addTombstone(now, key, removal)
+}
+
+// addTombstone records the revision of a removal.
+func (s *state) addTombstone(now time.Time, key string, removal kctport.StoreRevision) {
+	s.tombstones[key] = tombstone{removal: max(removal, s.tombstones[key].removal), at: now}
+}
+
+// expireRecords removes lapsed records that were not registered again after an outage, and tombstones whose retention has ended.
+func (s *state) expireRecords(now time.Time) []event {
+	var events []event
+	for key, r := range s.lapsed {
+		if !s.contact.inLapseGrace(now) {
+			s.drop(now, key, max(r.Revision, r.removal))
+			s.outbox = append(s.outbox, kctport.RegistryChange{Kind: r.Kind, Key: key, Revision: max(r.Revision, r.removal), Deleted: true})
+			events = append(events, event{message: "record gone", key: key, detail: "not registered again after the outage of the store"})
+		}
+	}
+	if now.Sub(s.tombstonesChecked) > tombstoneRetention/2 {
+		s.tombstonesChecked = now
+		for key, t := range s.tombstones {
+			if now.Sub(t.at) > tombstoneRetention {
+				delete(s.tombstones, key)
+			}
+		}
+	}
+	return events
+}
+
+// readers lists the entries that read the store for their zones, sorted by zone.
+func (s *state) readers() []kctport.EntryRecord {
+	var readers []kctport.EntryRecord
+	for _, r := range s.records {
+		if r.Reader != nil {
+			readers = append(readers, *r.Reader)
+		}
+	}
+	slices.SortFunc(readers, func(a, b kctport.EntryRecord) int { return cmp.Compare(a.Zone, b.Zone) })
+	return readers
+}
+
+// endpoint returns the endpoint's own record with the end of its cold period.
+func (r *record) endpoint() *kctport.FleetEndpoint {
+	f := &kctport.FleetEndpoint{EndpointRecord: *r.Endpoint}
+	if r.Endpoint.ColdRemaining > 0 {
+		f.ColdUntil = r.readAt.Add(r.Endpoint.ColdRemaining)
+	}
+	return f
+}
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -4,7 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,69 +12,80 @@
 )
 
 const (
-	// leaseTTL is how long the record of a failed reader remains; its subscribers use another zone's reader meanwhile.
-	leaseTTL = 3 * time.Second
-	// renewInterval allows two failed renewals within leaseTTL.
-	renewInterval = 900 * time.Millisecond
-	// renewTimeout bounds a renewal, by which a reader notices first that its calls get no answer. The store replies within 0.25 s at the 60-fold
-	// slowdown of the site files.
-	renewTimeout = 600 * time.Millisecond
-	// revokeTimeout bounds the removal of the reader's record at shutdown.
-	revokeTimeout = 300 * time.Millisecond
-	// startJitter spreads the claims of entries that start together; each attempt is two billed calls.
+	// startJitter spreads the first calls of entries that start together.
 	startJitter = 400 * time.Millisecond
-	// claimJitter spreads the claims of entries whose reader has failed.
-	claimJitter = 500 * time.Millisecond
-	// claimInterval is the shortest time between an entry's claims, which the store may refuse.
-	claimInterval = 3 * time.Second
+	// switchJitter spreads the subscriptions of entries that change to the new reader of their zone, each of which costs a full update.
+	switchJitter = 500 * time.Millisecond
 	// shortCallTimeout bounds the calls that precede a choice of source: a starting entry serves no callers until it has one, and after an outage the
 	// store answers a new call sooner than one that was lost in the outage.
 	shortCallTimeout = 400 * time.Millisecond
-	// aloneTimeout is how long an entry that reaches no reader follows the store itself before it tries the readers again.
-	aloneTimeout = 3 * time.Second
-	// readerOutageTimeout is how long a reader may report that it can't reach the store before its subscribers try another source: longer than a
-	// reader takes to repeat a call whose reply was lost, and short enough for changes to take effect within the required 3 s by another source.
-	readerOutageTimeout = 300 * time.Millisecond
-	// sharedOutageTimeout takes its place while no reader can reach the store, since each change of the source is a billed call of each entry.
-	sharedOutageTimeout = 1200 * time.Millisecond
-	// feedFailureRetention is how long a reader whose feed failed is tried last; its record stays in the store for as long.
-	feedFailureRetention = leaseTTL
-	// maxReaderLag is how much older than this entry's state a reader's may be to count as complete.
-	maxReaderLag = time.Second
-	// sourceCheckInterval is how often an entry checks for other sources, and a reader for other readers.
-	sourceCheckInterval = 250 * time.Millisecond
+	// lossTolerance is how long contact may be lost before an entry looks for another source: longer than a reader takes to repeat a call whose answer
+	// was lost, and short enough for changes to take effect within the required 3 s by another source.
+	lossTolerance = 300 * time.Millisecond
+	// scanInterval is the time between two rounds of questions to other entries while contact is lost.
+	scanInterval = 600 * time.Millisecond
+	// scanTimeout bounds a round.
+	scanTimeout = 400 * time.Millisecond
+	// probeInterval is the time between two calls of the store by the first entry of a zone while contact is lost. Each next one waits half of it
+	// longer, so that the calls of a zone grow with the logarithm of its size.
+	probeInterval = 500 * time.Millisecond
+	// readersWait lets readers that have just reached the store again, or have just claimed a zone, show contact before another entry watches the store.
+	readersWait = 150 * time.Millisecond
+	// turnStep is how much later than the one before it each of the first entries of a zone calls the store without contact, and turnDelay that of the
+	// others: a complete reading of a large store takes longer than turnStep, and only as many at once as the store can bear.
+	turnStep   = 100 * time.Millisecond
+	turnDelay  = 500 * time.Millisecond
+	firstTurns = 4
+	// aloneTime is how long an entry that watches the store without being a reader does so before it changes to a reader in contact.
+	aloneTime = 3 * time.Second
+	// peerPreference is how long a reader without answers of its own keeps trying before it changes to another reader in contact.
+	peerPreference = time.Second
+	// hubRetention is how long an entry whose feed failed, or that was not in contact, is not asked again for another entry's place.
+	hubRetention = leaseTTL
+	// sourceCheckInterval is how often an entry checks its source when nothing happens.
+	sourceCheckInterval = 100 * time.Millisecond
+	// otherCandidates is the number of readers of other zones that an entry asks in one round, and standIns that of the entries of its own zone which
+	// watch the store first when no reader does.
+	otherCandidates = 3
+	standIns        = 2
 )
 
-// errChangeSource is the cause that ends a working feed when another source may be better.
-var errChangeSource = errors.New("changing to another source")
+// sourceLoop chooses where this entry's state comes from: its own watch of the store, as the reader of its zone or in place of one, or another entry
+// in contact with the store. The source goroutine owns it.
+type sourceLoop struct {
+	*Controller
+	// hub is the entry that is followed, nil while this entry watches the store or reaches no other entry.
+	hub *link
+	// vacantSince is when the zone was first found without a reader, zero while it has one, and claimAfter when this entry may try to become it.
+	vacantSince, claimAfter time.Time
+	// lastScan and lastProbe are the times of the last questions to other entries and to the store without contact; answeredAt is when the store
+	// first answered one, zero before and while there is contact.
+	lastScan, lastProbe, answeredAt time.Time
+	// switchAt is when to change to the zone's reader, zero when that is not planned.
+	switchAt time.Time
+	// failures is when an entry was last found not to be a source.
+	failures map[kctport.InstanceID]time.Time
+}
 
-// source keeps the state up to date until the context ends: as the zone's reader, from a reader, or from the store alone.
+// source keeps the state up to date until the context ends.
 func (c *Controller) source(ctx context.Context) {
+	l := &sourceLoop{Controller: c, failures: map[kctport.InstanceID]time.Time{}}
 	c.loadOnce(ctx)
-	c.randomPause(ctx, startJitter)
+	c.pause(ctx, time.Duration(c.random.Int64N(int64(startJitter))))
+	ticks := c.timer.Subscribe(ctx, sourceCheckInterval)
 	for ctx.Err() == nil {
-		readers, err := c.knownReaders(ctx)
-		if err == nil && c.zoneWithoutReader(readers) {
-			c.lastClaim = c.timer.Now()
-			if c.runAsReader(ctx) {
-				continue
-			}
-			// Another entry claimed the zone first.
-			readers, err = c.knownReaders(ctx)
-		}
-		if c.subscribe(ctx, readers, err != nil) {
-			continue
-		}
-		if err != nil {
-			c.handleStoreError(ctx, err)
-			continue
+		l.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticks:
+		case <-c.contactChanged:
 		}
-		c.followStoreAlone(ctx)
 	}
+	l.dropHub()
 }
 
 // loadOnce reads the store once. A starting entry serves no callers until it has a fleet state, and after a power failure the readers in the
-// store's records have no more state than this entry. Without an answer in time the readers are tried, whose feeds are compressed.
+// store's records have no more state than this entry. Without an answer in time other entries are tried, whose feeds are compressed.
 func (c *Controller) loadOnce(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, shortCallTimeout)
 	defer cancel()
@@ -83,327 +94,285 @@
 		c.log.LogChange("store not read at the start", "", err.Error(), 0)
 		return
 	}
-	c.applyLoaded(ctx, l)
-}
-
-func (c *Controller) randomPause(ctx context.Context, limit time.Duration) {
-	c.pause(ctx, time.Duration(c.random.Int64N(int64(limit))))
+	c.update(ctx, func(s *state, now time.Time) []event { return s.applyLoaded(now, l) })
 }
 
-// knownReaders returns the readers on record in the store; while it is unreachable, those last received, with the error.
-func (c *Controller) knownReaders(ctx context.Context) ([]kctport.EntryRecord, error) {
-	callCtx, cancel := context.WithTimeout(ctx, shortCallTimeout)
-	defer cancel()
-	readers, err := c.registry.Readers(callCtx)
-	if err != nil {
-		c.update(ctx, func(s *state, _ time.Time) []event {
-			s.ownSince = time.Time{}
-			return nil
-		})
-		return *c.readers.Load(), err
+// step makes the next change of the source, if one is due.
+func (l *sourceLoop) step(ctx context.Context) {
+	now := l.timer.Now()
+	if l.hub != nil && l.hub.hasEnded() {
+		l.failures[l.hub.entry.ID] = now
+		l.hub = nil
 	}
-	c.update(ctx, func(s *state, now time.Time) []event { return s.recordReply(now) })
-	return readers, nil
-}
-
-// zoneWithoutReader reports whether this entry's zone has no reader.
-func (c *Controller) zoneWithoutReader(readers []kctport.EntryRecord) bool {
-	if c.leaving.Load() {
-		return false
+	v := l.contact.Load()
+	if v.lostSince.IsZero() {
+		l.answeredAt = time.Time{}
 	}
-	for _, r := range readers {
-		if r.Zone == c.self.Zone && r.ID != c.self.ID {
-			return false
+	switch {
+	case !v.lostSince.IsZero() && (l.hub == nil || now.Sub(v.lostSince) >= lossTolerance):
+		l.seek(ctx, now)
+	case l.hub == nil:
+		l.changeHub(ctx, l.scan(ctx, *l.readers.Load()))
+	case l.claimDue(now):
+		if held := l.claim(ctx); held != nil {
+			l.watch(ctx, held)
 		}
+	default:
+		l.preferZoneReader(ctx, now)
 	}
-	return true
 }
 
-// runAsReader claims the zone and follows the store for it until the lease or the context ends; it returns false when the claim failed.
-func (c *Controller) runAsReader(ctx context.Context) bool {
-	lease, err := c.registry.Grant(ctx, leaseTTL)
-	if err == nil {
-		err = c.registry.Claim(ctx, c.self, lease)
+// seek looks for contact with the store: first another entry that has it, then the store itself, when it is this entry's turn.
+func (l *sourceLoop) seek(ctx context.Context, now time.Time) {
+	readers := *l.readers.Load()
+	if now.Sub(l.lastScan) >= scanInterval || l.hub == nil && len(readers) > 0 && now.Sub(l.lastScan) >= sourceCheckInterval {
+		l.lastScan = now
+		if l.changeHub(ctx, l.scan(ctx, readers)) {
+			return
+		}
 	}
-	if err != nil {
-		c.log.LogChange("zone not claimed", string(c.self.Zone), err.Error(), 0)
-		return false
+	rank := l.rank()
+	switch {
+	case !l.answeredAt.IsZero() && now.Sub(l.answeredAt) >= readersWait+turn(rank):
+		// Those before it may have begun to watch meanwhile.
+		if !l.changeHub(ctx, l.scan(ctx, readers)) {
+			l.watch(ctx, nil)
+		}
+	case now.Sub(l.lastProbe) >= probeInterval*time.Duration(2+rank)/2 && now.Sub(l.contact.Load().lostSince) >= turn(rank):
+		l.probe(ctx, now)
 	}
-	c.log.LogChange("zone claimed", string(c.self.Zone), "", 0)
-	leaseCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	followerDone, peersDone := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(followerDone)
-		c.followStore(leaseCtx)
-	}()
-	go func() {
-		defer close(peersDone)
-		c.followOtherReaders(leaseCtx)
-	}()
-	c.renew(leaseCtx, lease)
-	cancel()
-	<-followerDone
-	<-peersDone
-	c.log.LogChange("zone given up", string(c.self.Zone), "", 0)
-	return true
 }
 
-// renew renews the lease until the lease or the context ends or this entry leaves, and revokes a lease that is still valid.
-func (c *Controller) renew(ctx context.Context, lease kctport.Lease) {
-	renewed := c.timer.Now()
-	var err error
-	for ctx.Err() == nil && !c.leaving.Load() {
-		if err == nil {
-			c.pause(ctx, renewInterval)
-		}
-		err = c.renewOnce(ctx, lease)
-		switch now := c.timer.Now(); {
-		case err == nil:
-			renewed = now
-			// A lost reply to one renewal is not an outage, and the watch may report contact only at the end of its wait.
-			c.update(ctx, func(s *state, now time.Time) []event { return s.recordReply(now) })
-		case now.Sub(renewed) > leaseTTL:
-			c.log.LogChange("reader's lease not renewed in time", string(c.self.Zone), err.Error(), 0)
+// turn returns how long an entry leaves the store to those of its zone that come before it.
+func turn(rank int) time.Duration {
+	return time.Duration(min(rank, firstTurns-1))*turnStep + time.Duration(max(0, rank-firstTurns+1))*turnDelay
+}
+
+// probe asks the store for the readers. When it answers, this entry claims its zone if that has no reader, or follows a reader that it did not know.
+func (l *sourceLoop) probe(ctx context.Context, now time.Time) {
+	l.lastProbe = now
+	readers, err := l.storedReaders(ctx)
+	if err != nil {
+		l.answeredAt = time.Time{}
+		return
+	}
+	if _, taken := l.zoneReader(readers); !taken && l.mayClaim(now) {
+		if held := l.claim(ctx); held != nil {
+			l.watch(ctx, held)
 			return
 		}
-		if errors.Is(err, kctport.ErrNotFound) {
-			c.log.LogChange("reader's lease ended", string(c.self.Zone), err.Error(), 0)
+		if readers, err = l.storedReaders(ctx); err != nil {
 			return
 		}
-		if err != nil && ctx.Err() == nil {
-			c.handleStoreError(ctx, err)
-		}
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), revokeTimeout)
-	defer cancel()
-	if err := c.registry.Revoke(ctx, lease); err != nil {
-		c.log.LogChange("reader's lease not revoked", string(c.self.Zone), err.Error(), 0)
+	if !l.changeHub(ctx, l.scan(ctx, readers)) && l.answeredAt.IsZero() {
+		l.answeredAt = now
 	}
 }
 
-func (c *Controller) renewOnce(ctx context.Context, lease kctport.Lease) error {
-	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+// storedReaders returns the readers on record in the store.
+func (l *sourceLoop) storedReaders(ctx context.Context) ([]kctport.EntryRecord, error) {
+	callCtx, cancel := context.WithTimeout(ctx, shortCallTimeout)
 	defer cancel()
-	return c.registry.Renew(ctx, lease)
+	readers, err := l.registry.Readers(callCtx)
+	l.update(ctx, func(s *state, now time.Time) []event {
+		if err != nil {
+			s.contact.ownFailure(err.Error())
+		} else {
+			s.contact.ownReply(now)
+		}
+		return s.contact.assess(now)
+	})
+	return readers, err
 }
 
-// followStoreAlone follows the store without being a reader, until there is a reader to try or the zone can be claimed, for at most aloneTimeout.
-func (c *Controller) followStoreAlone(ctx context.Context) {
-	c.log.LogChange("following the store alone", string(c.self.ID), "no reader can be reached", 0)
-	ctx, cancel := context.WithTimeout(ctx, aloneTimeout)
-	defer cancel()
-	followerDone := make(chan struct{})
-	go func() {
-		defer close(followerDone)
-		c.followStore(ctx)
-	}()
-	ticks := c.timer.Subscribe(ctx, sourceCheckInterval)
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-		case now := <-ticks:
-			readers := *c.readers.Load()
-			if c.zoneWithoutReader(readers) && now.Sub(c.lastClaim) > claimInterval || c.hasUntriedReader(readers) {
-				cancel()
-			}
+// rank returns how many entries of the zone come before this one when somebody has to call the store.
+func (l *sourceLoop) rank() int {
+	return slices.IndexFunc(l.zoneEntries(), func(e kctport.EntryRecord) bool { return e.ID == l.self.ID })
+}
+
+// zoneEntries lists the entries of this zone in the order in which they call the store, with those that failed recently last.
+func (l *sourceLoop) zoneEntries() []kctport.EntryRecord {
+	entries := []kctport.EntryRecord{l.self}
+	for _, e := range l.Fleet().Entries {
+		if e.Zone == l.self.Zone && e.ID != l.self.ID {
+			entries = append(entries, e)
 		}
 	}
-	<-followerDone
+	slices.SortFunc(entries, func(a, b kctport.EntryRecord) int {
+		return cmp.Or(cmp.Compare(l.failedRank(a), l.failedRank(b)), cmp.Compare(idHash(a.ID), idHash(b.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	return entries
 }
 
-// hasUntriedReader reports whether there is another reader whose feed has not failed recently.
-func (c *Controller) hasUntriedReader(readers []kctport.EntryRecord) bool {
-	return slices.ContainsFunc(readers, func(r kctport.EntryRecord) bool { return r.ID != c.self.ID && !c.failedRecently(r) })
+func (l *sourceLoop) failedRank(e kctport.EntryRecord) int {
+	if l.failedRecently(e) {
+		return 1
+	}
+	return 0
 }
 
-func (c *Controller) failedRecently(r kctport.EntryRecord) bool {
-	at, ok := c.feedFailures[r.ID]
-	return ok && c.timer.Now().Sub(at) < feedFailureRetention
+func (l *sourceLoop) failedRecently(e kctport.EntryRecord) bool {
+	at, ok := l.failures[e.ID]
+	return ok && l.timer.Now().Sub(at) < hubRetention
 }
 
-// subscribe follows the nearest working reader; it returns false when there is none. A reader that can't reach the store is accepted only when
-// this entry can't reach it either and no other reader can.
-func (c *Controller) subscribe(ctx context.Context, readers []kctport.EntryRecord, storeUnreachable bool) bool {
-	for _, acceptUnreachable := range []bool{false, true} {
-		if acceptUnreachable && !storeUnreachable {
-			break
+// candidates lists the entries to ask for contact, the preferred ones first: the zone's reader, some readers of other zones, and the entries of the
+// zone that watch the store first when no reader does.
+func (l *sourceLoop) candidates(readers []kctport.EntryRecord) []kctport.EntryRecord {
+	others := slices.Clone(readers)
+	l.shuffle(others)
+	var list []kctport.EntryRecord
+	if r, ok := l.zoneReader(readers); ok {
+		list = append(list, r)
+	}
+	for _, r := range others {
+		if r.Zone != l.self.Zone && len(list) <= otherCandidates {
+			list = append(list, r)
 		}
-		for _, r := range c.ranked(readers) {
-			if c.subscribeAt(ctx, r, acceptUnreachable) {
-				return true
-			}
+	}
+	for i, e := range l.zoneEntries() {
+		if i < standIns && !slices.ContainsFunc(list, func(r kctport.EntryRecord) bool { return r.ID == e.ID }) {
+			list = append(list, e)
 		}
 	}
-	return false
+	return slices.DeleteFunc(list, func(e kctport.EntryRecord) bool {
+		return e.ID == l.self.ID || l.hub != nil && e.ID == l.hub.entry.ID
+	})
 }
 
-// ranked orders the other readers: the own zone's first, those that failed recently last.
-func (c *Controller) ranked(readers []kctport.EntryRecord) []kctport.EntryRecord {
-	rank := func(r kctport.EntryRecord) int {
-		switch {
-		case c.failedRecently(r):
-			return 2
-		case r.Zone != c.self.Zone:
-			return 1
-		}
-		return 0
+func (l *sourceLoop) shuffle(list []kctport.EntryRecord) {
+	rand.New(rand.NewPCG(l.random.Uint64(), 0)).Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+// answer is what a candidate says of its contact with the store.
+type answer struct {
+	candidate int
+	contact   kctport.StoreContact
+	err       error
+}
+
+// scan returns the preferred candidate that is in contact with the store; with no hub and none in contact, the first that answers, which passes on what
+// it has.
+func (l *sourceLoop) scan(ctx context.Context, readers []kctport.EntryRecord) *kctport.EntryRecord {
+	candidates := l.candidates(readers)
+	inContact, reachable := l.ask(ctx, candidates)
+	switch {
+	case inContact < len(candidates):
+		return &candidates[inContact]
+	case l.hub == nil && reachable < len(candidates):
+		return &candidates[reachable]
 	}
-	others := slices.DeleteFunc(slices.Clone(readers), func(r kctport.EntryRecord) bool { return r.ID == c.self.ID })
-	slices.SortStableFunc(others, func(a, b kctport.EntryRecord) int { return cmp.Compare(rank(a), rank(b)) })
-	return others
+	return nil
 }
 
-// subscribeAt follows one reader until its feed ends and reports whether the feed was usable.
-func (c *Controller) subscribeAt(parent context.Context, reader kctport.EntryRecord, acceptUnreachable bool) bool {
-	ctx, cancel := context.WithCancelCause(parent)
-	defer cancel(nil)
-	usable, readerUnreachable := false, false
-	outageTimeout := readerOutageTimeout
-	if acceptUnreachable {
-		outageTimeout = sharedOutageTimeout
+// ask asks all candidates at once; it returns the index of the first one that is in contact with the store and of the first other one that answers, and
+// the number of candidates where there is none.
+func (l *sourceLoop) ask(ctx context.Context, candidates []kctport.EntryRecord) (inContact, reachable int) {
+	callCtx, cancel := context.WithTimeout(ctx, scanTimeout)
+	defer cancel()
+	answers := make(chan answer, len(candidates))
+	for i, e := range candidates {
+		go func() {
+			contact, err := l.feed.Contact(callCtx, e, l.Self())
+			answers <- answer{i, contact, err}
+		}()
 	}
-	var unreachableSince time.Time
-	apply := func(f kctport.FeedUpdate) {
-		now := c.timer.Now()
-		if !usable && (!f.StoreUnreachable || acceptUnreachable) {
-			usable = true
-			c.log.LogChange("following entry", string(reader.ID), describeFeed(f), 0)
-		}
+	inContact, reachable = len(candidates), len(candidates)
+	answered := make([]bool, len(candidates))
+	for range candidates {
+		a := <-answers
+		answered[a.candidate] = true
 		switch {
-		case !f.StoreUnreachable:
-			unreachableSince = time.Time{}
-		case unreachableSince.IsZero():
-			unreachableSince = now
-		}
-		if !usable || !unreachableSince.IsZero() && now.Sub(unreachableSince) >= outageTimeout {
-			// Another reader, or this entry itself, may be able to reach the store.
-			readerUnreachable = true
-			cancel(errChangeSource)
+		case a.err != nil:
+			if callCtx.Err() == nil {
+				l.failures[candidates[a.candidate].ID] = l.timer.Now()
+			}
+		case l.isSource(a.contact):
+			inContact = min(inContact, a.candidate)
+		default:
+			reachable = min(reachable, a.candidate)
 		}
-		c.update(ctx, func(s *state, now time.Time) []event {
-			s.source = reader.ID
-			return s.applyFeedUpdate(now, f)
-		})
-		if !f.Full && c.zoneWithoutReader(*c.readers.Load()) && now.Sub(c.lastClaim) > claimInterval {
-			c.lastClaim = now
-			cancel(errChangeSource)
+		if inContact < len(candidates) && !slices.Contains(answered[:inContact], false) {
+			// The others are not waited for, but for the end of their calls.
+			cancel()
 		}
 	}
-	err := c.feed.Follow(ctx, reader, c.Self, apply)
-	if ctx.Err() == nil || !usable || readerUnreachable {
-		c.feedFailures[reader.ID] = c.timer.Now()
-	}
-	c.update(context.WithoutCancel(ctx), func(s *state, now time.Time) []event {
-		s.members.markAllUnreachable(now)
-		return nil
-	})
-	if ctx.Err() == nil || errors.Is(context.Cause(ctx), errChangeSource) {
-		c.log.LogChange("feed ended", string(reader.ID), errors.Join(context.Cause(ctx), err).Error(), 0)
-	}
-	if usable && !readerUnreachable && errors.Is(context.Cause(ctx), errChangeSource) {
-		c.randomPause(parent, claimJitter)
-	}
-	return usable
+	return inContact, reachable
 }
 
-// describeFeed describes what an update says of the store, for the log.
-func describeFeed(f kctport.FeedUpdate) string {
-	return fmt.Sprintf("store unreachable %t, age %v, last reply %v before, revision %d",
-		f.StoreUnreachable, f.StoreAge.Round(time.Millisecond), f.StoreSilence.Round(time.Millisecond), f.Revision)
+// isSource reports whether an entry with this contact can be followed.
+func (l *sourceLoop) isSource(c kctport.StoreContact) bool {
+	return c.Watcher != "" && c.Watcher != l.self.ID && c.Hops < maxHops && c.Age < l.maxAge
 }
 
-// applyFeedUpdate applies an update from a reader.
-func (s *state) applyFeedUpdate(now time.Time, f kctport.FeedUpdate) []event {
-	var events []event
-	if f.StoreUnreachable {
-		events = s.recordOutage(now, "the reader can't reach the store")
-	} else {
-		events = s.recordContact(now, contact{now.Add(-f.StoreAge), now.Add(-f.StoreSilence), now.Add(-f.StoreSteady)})
-	}
-	if f.Full {
-		if now.Add(-f.StoreAge).Before(s.lastContact.Add(-maxReaderLag)) {
-			// The reader's state is older than this entry's, so that a record missing from it may be new.
-			for _, change := range f.Changes {
-				events = append(events, s.apply(now, change)...)
-			}
-		} else {
-			events = append(events, s.applyFull(now, f.Changes, f.Revision)...)
-		}
-		if s.members.replace(f.Members, func(origin kctport.InstanceID) bool { return origin != s.self.ID }) {
-			events = append(events, event{})
-		}
-		return events
+// changeHub follows an entry in place of the former one, if its feed works; it returns whether this entry is then in contact with the store.
+func (l *sourceLoop) changeHub(ctx context.Context, entry *kctport.EntryRecord) bool {
+	if entry == nil {
+		return false
 	}
-	for _, change := range f.Changes {
-		events = append(events, s.apply(now, change)...)
+	next := l.openHub(ctx, *entry)
+	select {
+	case <-next.updated:
+	case <-next.done:
+		l.failures[entry.ID] = l.timer.Now()
+		return false
 	}
-	s.revision = max(s.revision, f.Revision)
-	for _, m := range f.Members {
-		if m.Origin != s.self.ID && s.members.set(m) {
-			events = append(events, event{})
-		}
+	l.dropHub()
+	l.hub, l.switchAt = next, time.Time{}
+	// The control goroutine takes the next update only after it has published the effect of the one before.
+	l.update(ctx, func(*state, time.Time) []event { return nil })
+	return l.contact.Load().lostSince.IsZero()
+}
+
+func (l *sourceLoop) dropHub() {
+	if l.hub != nil {
+		l.hub.close()
+		l.hub = nil
 	}
-	return events
 }
 
-// followOtherReaders follows the members of the other readers until the context ends.
-func (c *Controller) followOtherReaders(ctx context.Context) {
-	running := map[kctport.InstanceID]chan struct{}{}
-	ticks := c.timer.Subscribe(ctx, sourceCheckInterval)
-	for {
-		for _, r := range *c.readers.Load() {
-			if done := running[r.ID]; r.ID != c.self.ID && (done == nil || isClosed(done)) {
-				running[r.ID] = make(chan struct{})
-				go c.followMembers(ctx, r, running[r.ID])
-			}
-		}
-		select {
-		case <-ctx.Done():
-			for _, done := range running {
-				<-done
-			}
-			return
-		case <-ticks:
-		}
+// mayClaim reports whether this entry may try to become its zone's reader.
+func (l *sourceLoop) mayClaim(now time.Time) bool {
+	return !l.leaving.Load() && !now.Before(l.claimAfter)
+}
+
+// claim makes this entry the reader of its zone; it returns nil when another entry is, or the store doesn't answer.
+func (l *sourceLoop) claim(ctx context.Context) *claim {
+	held, err := l.claimZone(ctx)
+	l.claimAfter = l.timer.Now().Add(retryPause)
+	if errors.Is(err, kctport.ErrConflict) {
+		l.claimAfter = l.timer.Now().Add(claimInterval)
 	}
+	return held
 }
 
-func isClosed(done <-chan struct{}) bool {
-	select {
-	case <-done:
-		return true
-	default:
+// claimDue reports whether the zone has no reader and it is this entry's turn to become it.
+func (l *sourceLoop) claimDue(now time.Time) bool {
+	if _, taken := l.zoneReader(*l.readers.Load()); taken {
+		l.vacantSince = time.Time{}
 		return false
 	}
+	if l.vacantSince.IsZero() {
+		l.vacantSince = now
+	}
+	return l.mayClaim(now) && now.Sub(l.vacantSince) >= time.Duration(l.rank())*claimStep
 }
 
-// followMembers follows the members that are subscribed at another reader, until its feed ends.
-func (c *Controller) followMembers(ctx context.Context, reader kctport.EntryRecord, done chan<- struct{}) {
-	defer close(done)
-	accept := func(origin kctport.InstanceID) bool { return origin == reader.ID }
-	err := c.feed.Follow(ctx, reader, c.Self, func(f kctport.FeedUpdate) {
-		c.update(ctx, func(s *state, _ time.Time) []event {
-			changed := false
-			if f.Full {
-				changed = s.members.replace(f.Members, accept)
-			} else {
-				for _, m := range f.Members {
-					changed = accept(m.Origin) && s.members.set(m) || changed
-				}
-			}
-			if !changed {
-				return nil
-			}
-			return []event{{}}
-		})
-	})
-	if ctx.Err() != nil {
-		return
+// preferZoneReader changes to the zone's reader from another entry.
+func (l *sourceLoop) preferZoneReader(ctx context.Context, now time.Time) {
+	r, ok := l.zoneReader(*l.readers.Load())
+	switch {
+	case !ok || r.ID == l.hub.entry.ID || l.failedRecently(r):
+		l.switchAt = time.Time{}
+	case l.switchAt.IsZero():
+		l.switchAt = now.Add(time.Duration(l.random.Int64N(int64(switchJitter))))
+	case !now.Before(l.switchAt):
+		l.switchAt = time.Time{}
+		if inContact, _ := l.ask(ctx, []kctport.EntryRecord{r}); inContact == 0 {
+			l.changeHub(ctx, &r)
+		} else {
+			l.failures[r.ID] = now
+		}
 	}
-	c.update(ctx, func(s *state, now time.Time) []event {
-		s.members.markUnreachable(reader.ID, now)
-		return []event{{message: "feed ended", key: string(reader.ID), detail: err.Error()}}
-	})
-	c.pause(ctx, retryPause)
 }
--- /dev/null
+++ b/core/kctfleet/source_test.go
@@ -0,0 +1,218 @@
+package kctfleet
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	kctport "kingcupturn"
+)
+
+var faultSeeds = flag.Int("faults.seeds", 12, "number of seeds of the random faults")
+
+// stable is the time without a disruption of its own after which an entry must keep the bounds (the users' stable-window-ms).
+const stable = 4 * time.Second
+
+// step lets 100 ms pass and checks each entry that has reached the store and other entries for a while: the rules of applyBound before must be in
+// force there, and somebody must have watched the store within applyBound.
+func (f *simFleet) step() {
+	time.Sleep(100 * time.Millisecond)
+	now := time.Now()
+	f.store.mu.Lock()
+	mode := f.store.mode
+	f.store.mu.Unlock()
+	if mode != linkPass {
+		f.unstableAt = now
+	}
+	want := 0
+	for want < len(f.versions) && now.Sub(f.versions[want]) >= applyBound {
+		want++
+	}
+	watching, connected := false, false
+	for _, e := range f.entries {
+		if e.killed {
+			continue
+		}
+		f.net.mu.Lock()
+		cut := f.net.cuts[e.port]
+		f.net.mu.Unlock()
+		if cut || e.link.modeNow() != linkPass {
+			e.disturbedAt = now
+		}
+		fleet := e.Fleet()
+		watching = watching || fleet.Watcher == e.self.ID
+		if now.Sub(e.disturbedAt) < stable || now.Sub(f.unstableAt) < stable {
+			continue
+		}
+		connected = true
+		if got := version(e.Controller); int(got) < want {
+			f.violations++
+			f.t.Errorf("entry %s in %s: version %d in force, %d was acknowledged %v before; state %v old, watched by %q",
+				e.self.ID, e.self.Zone, got, want, now.Sub(f.versions[want-1]).Round(time.Millisecond), now.Sub(fleet.LastContact).Round(time.Millisecond), fleet.Watcher)
+		}
+	}
+	if watching || !connected {
+		f.watchedAt = now
+	}
+	if unwatched := now.Sub(f.watchedAt); unwatched >= applyBound {
+		f.violations++
+		f.t.Errorf("nobody has watched the store for %v", unwatched)
+	}
+}
+
+// TestContactAfterFaults guards against entries that miss changes after faults which are none of their own, because those that they follow don't watch
+// the store: random series of outages that leases survive or not, entries without the store, without any connection, killed and started again, with
+// changes of the rules all the while.
+//
+// More seeds: go test ./core/kctfleet -run TestContactAfterFaults -faults.seeds 400
+func TestContactAfterFaults(t *testing.T) {
+	for seed := range uint64(*faultSeeds) {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { faults(t, seed) })
+		})
+	}
+}
+
+// faults plays a minute of random faults.
+func faults(t *testing.T, seed uint64) {
+	const length = time.Minute
+	f := newSimFleet(t, seed, 3+int(seed*7%28), 1+int(seed%4))
+	defer f.end()
+	began := time.Now()
+	type undo struct {
+		at time.Time
+		do func()
+	}
+	var undos []undo
+	later := func(d time.Duration, do func()) { undos = append(undos, undo{time.Now().Add(d), do}) }
+	upTo := func(d time.Duration) time.Duration { return time.Duration(f.random.Int64N(int64(d))) }
+	isolatedAt := time.Now()
+	for time.Since(began) < length && f.violations == 0 {
+		f.step()
+		for i := 0; i < len(undos); i++ {
+			if time.Now().After(undos[i].at) {
+				undos[i].do()
+				undos = append(undos[:i], undos[i+1:]...)
+				i--
+			}
+		}
+		e := f.entries[f.random.IntN(len(f.entries))]
+		switch f.random.IntN(60) {
+		case 0, 1, 2:
+			f.changeRules()
+		case 3:
+			f.store.setMode(linkRefused+linkMode(f.random.IntN(2)), f.random.IntN(2) == 0)
+			later(upTo(6*time.Second), func() { f.store.setMode(linkPass, false) })
+			// A change meets the outage or its end.
+			later(upTo(8*time.Second), f.changeRules)
+		case 4, 5:
+			e.link.setMode(linkRefused + linkMode(f.random.IntN(2)))
+			later(upTo(6*time.Second), func() { e.link.setMode(linkPass) })
+		case 6:
+			if time.Since(isolatedAt) < stable {
+				break
+			}
+			isolatedAt = time.Now()
+			f.isolate(e, true)
+			later(upTo(6*time.Second), func() { f.isolate(e, false) })
+		case 7, 8:
+			f.restart(e)
+		case 9:
+			for _, e := range f.entries {
+				if fleet := e.Fleet(); fleet.Watcher == e.self.ID {
+					f.restart(e)
+				}
+			}
+		}
+	}
+}
+
+// isolate cuts an entry off from everything, or connects it again.
+func (f *simFleet) isolate(e *simEntry, cut bool) {
+	mode := linkPass
+	if cut {
+		mode = linkSilent
+	}
+	e.link.setMode(mode)
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	f.net.cuts[e.port] = cut
+}
+
+// restart kills an entry and starts it again.
+func (f *simFleet) restart(e *simEntry) {
+	f.kill(e)
+	f.start(e)
+}
+
+// kill ends an entry without notice: its lease stays.
+func (f *simFleet) kill(e *simEntry) {
+	mode := e.link.mode
+	e.link.setMode(linkRefused)
+	e.cancel()
+	<-e.done
+	e.link.setMode(mode)
+	f.net.mu.Lock()
+	defer f.net.mu.Unlock()
+	delete(f.net.running, e.port)
+}
+
+// callsIn returns the number of calls of the store in a time.
+func (f *simFleet) callsIn(from, to time.Time) int {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	n := 0
+	for _, at := range f.store.calls {
+		if !at.Before(from) && at.Before(to) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestCallsOfTheStore guards against a number of calls that grows as fast as the fleet, in calm and when all entries lose their readers at once.
+func TestCallsOfTheStore(t *testing.T) {
+	for _, c := range []struct {
+		entries, zones int
+		// calm and lost bound the calls in a second without changes, and in the second after all readers have been killed.
+		calm, lost int
+	}{{9, 3, 6, 30}, {90, 4, 8, 60}} {
+		t.Run(fmt.Sprint(c.entries), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimFleet(t, 1, c.entries, c.zones)
+				defer f.end()
+				for range 100 {
+					f.step()
+				}
+				calm := time.Now()
+				for range 50 {
+					f.step()
+				}
+				killed := time.Now()
+				for _, e := range f.entries {
+					if e.Fleet().Watcher == e.self.ID {
+						f.kill(e)
+						e.killed = true
+					}
+				}
+				f.changeRules()
+				for range 50 {
+					f.step()
+				}
+				perSecond := float64(f.callsIn(calm, killed)) / killed.Sub(calm).Seconds()
+				most := 0
+				for at := killed; at.Before(time.Now()); at = at.Add(100 * time.Millisecond) {
+					most = max(most, f.callsIn(at, at.Add(time.Second)))
+				}
+				t.Logf("%d entries in %d zones: %.1f calls a second in calm, at most %d in a second after the loss of all readers", c.entries, c.zones, perSecond, most)
+				if perSecond > float64(c.calm) || most > c.lost {
+					t.Errorf("more than %d or %d calls", c.calm, c.lost)
+				}
+			})
+		})
+	}
+}
+
+var _ kctport.Registry = (*simLink)(nil)
--- a/core/kctfleet/state_test.go
+++ b/core/kctfleet/state_test.go
@@ -23,14 +23,38 @@
 	return kctport.RegistryChange{Kind: c.Kind, Key: c.Key, Zone: c.Zone, Revision: revision, Deleted: true}
 }
 
+// newTestState returns the state of an entry that watches the store from the start.
+func newTestState(self kctport.EntryRecord) *state {
+	s := newState(self, newStoreContact(self.ID, 3*time.Second, lapseHeartbeats*defaultHeartbeat, start))
+	s.contact.setWatching(true)
+	watched(s, start)
+	return s
+}
+
+// watched records an answer that brought no changes.
+func watched(s *state, now time.Time) {
+	s.contact.ownChanges(now, 0)
+	s.contact.assess(now)
+}
+
+// failed records a call of the store without an answer.
+func failed(s *state, now time.Time) {
+	s.contact.ownFailure("outage")
+	s.contact.assess(now)
+}
+
+// testLink returns a feed from an entry.
+func testLink(id string) *link {
+	return &link{entry: kctport.EntryRecord{ID: kctport.InstanceID(id)}, accept: func(kctport.InstanceID) bool { return true }}
+}
+
 func usableEndpoints(s *state, now time.Time) int {
 	return len(s.fleet(now).Endpoints["s"])
 }
 
 // TestOlderRulesIgnored guards against an older version, a deletion or an unreadable record that replaces the rules in force, whatever its revision.
 func TestOlderRulesIgnored(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, contact{start, start, start})
+	s := newTestState(kctport.EntryRecord{ID: "e"})
 	for _, c := range []kctport.RegistryChange{
 		rules(5, 1), rules(9, 4), rules(7, 3), rules(8, 9), deletion(rules(9, 0), 10),
 		{Kind: kctport.RecordRules, Key: "rules", Revision: 11, Problem: "unreadable"},
@@ -46,16 +70,15 @@
 // TestLapsedRecords guards against live endpoints that are removed because an outage of the store let their leases expire, and against dead ones
 // that are kept after it.
 func TestLapsedRecords(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, contact{start, start, start})
+	s := newTestState(kctport.EntryRecord{ID: "e"})
 	s.applyFull(start, []kctport.RegistryChange{endpointChange("lives", 1), endpointChange("dies", 2), endpointChange("leaves", 3)}, 0)
 	s.apply(start, deletion(endpointChange("leaves", 0), 4))
 	if n := usableEndpoints(s, start); n != 2 {
 		t.Fatalf("%d endpoints, want 2: a record deleted while the store is reachable is removed at once", n)
 	}
-	s.recordOutage(start, "outage")
+	failed(s, start)
 	reconnected := start.Add(5 * time.Second)
-	s.recordContact(reconnected, contact{reconnected, reconnected, reconnected})
+	watched(s, reconnected)
 	s.applyFull(reconnected, nil, 0)
 	s.expire(reconnected)
 	if n := usableEndpoints(s, reconnected); n != 2 {
@@ -85,15 +108,22 @@
 		"reader that does not say":                {0, 0, 2},
 		"first one that lost it, then another":    {time.Second, found, 1},
 	} {
-		s := newState(kctport.EntryRecord{ID: "e"})
+		s := newState(kctport.EntryRecord{ID: "e"}, newStoreContact("e", 3*time.Second, lapseHeartbeats*defaultHeartbeat, start))
 		at := start.Add(lost)
-		s.recordContact(at, contact{at, at, start})
-		s.applyFull(at, []kctport.RegistryChange{endpointChange("stays", 1), endpointChange("leaves", 2)}, 0)
-		s.applyFeedUpdate(at.Add(time.Second), kctport.FeedUpdate{StoreUnreachable: true})
+		first := testLink("r1")
+		s.applyFeedUpdate(at, first, kctport.FeedUpdate{
+			Full: true, Store: kctport.StoreContact{Watcher: "r1", Steady: lost}, Changes: []kctport.RegistryChange{endpointChange("stays", 1), endpointChange("leaves", 2)},
+		})
+		s.applyFeedUpdate(at.Add(time.Second), first, kctport.FeedUpdate{Store: kctport.StoreContact{Age: time.Second, Silence: time.Second}})
 		now := start.Add(found)
-		s.applyFeedUpdate(now, kctport.FeedUpdate{Full: true, StoreSteady: c.steady, Changes: []kctport.RegistryChange{endpointChange("stays", 1)}})
+		s.endLink(now, first, "")
+		s.applyFeedUpdate(now, testLink("r2"), kctport.FeedUpdate{
+			Full: true, Store: kctport.StoreContact{Watcher: "r2", Steady: c.steady}, Changes: []kctport.RegistryChange{endpointChange("stays", 1)},
+		})
 		if c.second > 0 {
-			s.applyFeedUpdate(now, kctport.FeedUpdate{Full: true, StoreSteady: c.second, Changes: []kctport.RegistryChange{endpointChange("stays", 1)}})
+			s.applyFeedUpdate(now, testLink("r3"), kctport.FeedUpdate{
+				Full: true, Store: kctport.StoreContact{Watcher: "r3", Steady: c.second}, Changes: []kctport.RegistryChange{endpointChange("stays", 1)},
+			})
 		}
 		s.expire(now)
 		if n := usableEndpoints(s, now); n != c.usable {
@@ -126,12 +156,11 @@
 		"missing in a reading of unknown age":     {reading(0), 2, 1},
 		"removed before it was known to be there": {func(s *state) { s.drop(start, "servers/leaves", 0); change(s) }, 2, 0},
 	} {
-		s := newState(kctport.EntryRecord{ID: "e"})
-		s.recordContact(start, contact{start, start, start})
+		s := newTestState(kctport.EntryRecord{ID: "e"})
 		s.apply(start, endpointChange("leaves", 2))
 		c.remove(s)
 		now := start.Add(time.Second)
-		s.applyFeedUpdate(now, kctport.FeedUpdate{Full: true, StoreAge: 1500 * time.Millisecond, Changes: []kctport.RegistryChange{endpointChange("leaves", c.again)}})
+		s.applyFeedUpdate(now, testLink("r"), kctport.FeedUpdate{Full: true, Store: kctport.StoreContact{Watcher: "r", Age: 1500 * time.Millisecond}, Changes: []kctport.RegistryChange{endpointChange("leaves", c.again)}})
 		if n := usableEndpoints(s, now); n != c.usable {
 			t.Errorf("%s: %d endpoints, want %d", name, n, c.usable)
 		}
@@ -140,10 +169,9 @@
 
 // TestLapsedRecordKeepsItsRevision guards against a lapsed record that a reader's subscribers take for a registration after the removal.
 func TestLapsedRecordKeepsItsRevision(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, contact{start, start, start})
+	s := newTestState(kctport.EntryRecord{ID: "e"})
 	s.apply(start, endpointChange("lapses", 2))
-	s.recordOutage(start, "outage")
+	failed(s, start)
 	s.apply(start, deletion(endpointChange("lapses", 0), 7))
 	if f := s.fullState(start); len(f.Changes) != 1 || f.Changes[0].Revision != 2 {
 		t.Errorf("full update %+v, want the record with revision 2", f.Changes)
@@ -160,12 +188,13 @@
 
 // TestUnnoticedInterruption guards against a reader that was stopped during an outage of the store and reports uninterrupted contact.
 func TestUnnoticedInterruption(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, contact{start, start, start})
+	s := newState(kctport.EntryRecord{ID: "e"}, newStoreContact("e", 3*time.Second, lapseHeartbeats*defaultHeartbeat, start))
+	reader := testLink("r")
+	s.applyFeedUpdate(start, reader, kctport.FeedUpdate{Store: kctport.StoreContact{Watcher: "r"}})
 	for _, c := range []struct{ after, steady time.Duration }{{2 * time.Second, 2 * time.Second}, {8 * time.Second, 0}, {9 * time.Second, time.Second}} {
 		now := start.Add(c.after)
-		s.recordContact(now, contact{now, now, now})
-		if got := s.storeSteady(now); got != c.steady {
+		s.applyFeedUpdate(now, reader, kctport.FeedUpdate{Store: kctport.StoreContact{Watcher: "r"}})
+		if got := s.contact.steady(now); got != c.steady {
 			t.Errorf("after %v: steady for %v, want %v", c.after, got, c.steady)
 		}
 	}
@@ -173,8 +202,7 @@
 
 // TestOlderRevisionIgnored guards against a page of a complete reading that overwrites a later change from the watch.
 func TestOlderRevisionIgnored(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, contact{start, start, start})
+	s := newTestState(kctport.EntryRecord{ID: "e"})
 	draining := endpointChange("i", 8)
 	draining.Endpoint.Leaving = true
 	s.apply(start, draining)
@@ -186,8 +214,7 @@
 
 // TestZoneOutOfService guards against traffic to a zone that is out of service or to an endpoint whose record is unreadable.
 func TestZoneOutOfService(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, contact{start, start, start})
+	s := newTestState(kctport.EntryRecord{ID: "e"})
 	out := kctport.RegistryChange{Kind: kctport.RecordZoneOut, Key: "out/a", Zone: "a", Revision: 2}
 	s.apply(start, endpointChange("i", 1))
 	s.apply(start, out)
@@ -207,8 +234,7 @@
 // TestVersionBeforeItsMove guards against traffic to a new version before its move has begun, and against a service without usable endpoints when
 // only that version is left.
 func TestVersionBeforeItsMove(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, contact{start, start, start})
+	s := newTestState(kctport.EntryRecord{ID: "e"})
 	old, fresh := endpointChange("old", 1), endpointChange("new", 2)
 	old.Endpoint.Version, fresh.Endpoint.Version = "v1", "v2"
 	s.apply(start, old)
@@ -225,14 +251,17 @@
 
 // TestOutdatedFullUpdate guards against newer records that are removed by a full update from a reader that hasn't reached the store for long.
 func TestOutdatedFullUpdate(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e"})
-	s.recordContact(start, contact{start, start, start})
+	s := newTestState(kctport.EntryRecord{ID: "e"})
 	s.apply(start, endpointChange("new", 9))
-	s.applyFeedUpdate(start, kctport.FeedUpdate{Full: true, Changes: []kctport.RegistryChange{endpointChange("old", 1)}, StoreUnreachable: true, StoreAge: time.Minute})
+	s.applyFeedUpdate(start, testLink("r1"), kctport.FeedUpdate{
+		Full: true, Changes: []kctport.RegistryChange{endpointChange("old", 1)}, Store: kctport.StoreContact{Age: time.Minute, Silence: time.Minute},
+	})
 	if n := usableEndpoints(s, start); n != 2 {
 		t.Fatalf("%d endpoints, want 2", n)
 	}
-	s.applyFeedUpdate(start.Add(time.Second), kctport.FeedUpdate{Full: true, Changes: []kctport.RegistryChange{endpointChange("old", 1)}})
+	s.applyFeedUpdate(start.Add(time.Second), testLink("r2"), kctport.FeedUpdate{
+		Full: true, Changes: []kctport.RegistryChange{endpointChange("old", 1)}, Store: kctport.StoreContact{Watcher: "r2"},
+	})
 	later := start.Add(time.Second + lapseGrace + time.Millisecond)
 	s.expire(later)
 	if n := usableEndpoints(s, later); n != 1 {
@@ -242,14 +271,13 @@
 
 // TestMembers guards against dead entries that stay in the directory, and against live ones that are removed while they change readers.
 func TestMembers(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e", Zone: "a"})
-	s.recordContact(start, contact{start, start, start})
+	s := newTestState(kctport.EntryRecord{ID: "e", Zone: "a"})
 	member := func(origin, id string, unsubscribed bool) kctport.FeedMember {
 		return kctport.FeedMember{Origin: kctport.InstanceID(origin), Entry: kctport.EntryRecord{ID: kctport.InstanceID(id), Zone: "a"}, Unsubscribed: unsubscribed}
 	}
 	s.members.set(member("r1", "x", false))
 	s.members.set(member("r1", "y", false))
-	s.members.markUnreachable("r1", start)
+	s.members.markUnreachable(start, func(origin kctport.InstanceID) bool { return origin == "r1" })
 	s.members.set(member("r2", "x", false))
 	s.expire(start.Add(time.Second))
 	if n := len(s.fleet(start).Entries); n != 3 {
@@ -284,7 +312,7 @@
 
 // TestAssumedSharesAtStart guards against entries that start together and each use a complete fleet-wide limit until they have one another's records.
 func TestAssumedSharesAtStart(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e", Zone: "a"})
+	s := newTestState(kctport.EntryRecord{ID: "e", Zone: "a"})
 	s.assumeShares(9, start)
 	s.updateSelf(s.self)
 	if f := s.fleet(start); f.LimitShares != 9 || f.ActiveShares != 9 {
--- a/feed.go
+++ b/feed.go
@@ -30,37 +30,50 @@
 	Unsubscribed bool
 }
 
-// FeedUpdate is an update from a reader of the store to its subscribers.
+// StoreContact is what a feed says of the store: what an entry that watches the store itself has seen of it, and how long ago.
+type StoreContact struct {
+	// Watcher is the entry that watches the store; empty while the sender is not in contact with the store. The other fields then describe the
+	// sender's last contact.
+	Watcher InstanceID
+	// Hops is the number of feeds between the watcher and the sender, 0 when the sender is the watcher.
+	Hops int
+	// Age is the time since the watcher last received the store's changes, and Silence that since the store last answered it at all; at the
+	// subscriber both are upper bounds.
+	Age     time.Duration
+	Silence time.Duration
+	// Steady is how long the contact has lasted without interruption, which at the subscriber is a lower bound.
+	Steady time.Duration
+	// Revision is the store's revision up to which the sender has all changes; 0 when not known.
+	Revision StoreRevision
+}
+
+// FeedUpdate is an update from an entry to its subscribers.
 type FeedUpdate struct {
 	// Full is set when Changes and Members are complete and replace earlier ones.
 	Full    bool
 	Changes []RegistryChange
 	Members []FeedMember
-	// StoreUnreachable is set while the reader can't reach the store.
-	StoreUnreachable bool
-	// StoreAge is the time since the reader last received the store's changes, and StoreSilence that since the store last answered it at all; at the
-	// subscriber both are upper bounds.
-	StoreAge     time.Duration
-	StoreSilence time.Duration
-	// StoreSteady is how long the reader has been in contact with the store without interruption, which at the subscriber is a lower bound.
-	StoreSteady time.Duration
-	// Revision is the store's revision up to which the reader has all changes; 0 when not reported.
-	Revision StoreRevision
-	// Made is when the sender made the update, by its own clock; zero at the subscriber, where the ages are those on arrival.
-	Made time.Time
+	// Store is the contact with the store at the time Made, which is that of the sender's clock; it is zero at the subscriber, where the ages are those
+	// on arrival.
+	Store StoreContact
+	Made  time.Time
 }
 
-// Feed is the port to other entries that are readers of the store.
+// Feed is the port to other entries, which pass on what the store holds.
 type Feed interface {
-	// Follow subscribes to a reader and passes its updates to handle until the feed fails or the context ends; self supplies the record for each
+	// Follow subscribes to an entry and passes its updates to handle until the feed fails or the context ends; self supplies the record for each
 	// heartbeat.
-	Follow(ctx context.Context, reader EntryRecord, self func() EntryRecord, handle func(FeedUpdate)) error
+	Follow(ctx context.Context, entry EntryRecord, self func() EntryRecord, handle func(FeedUpdate)) error
+	// Contact asks an entry for its contact with the store, without subscribing.
+	Contact(ctx context.Context, entry, self EntryRecord) (StoreContact, error)
 }
 
 // FeedSource serves the subscribers of this entry; the feed adapter calls it.
 type FeedSource interface {
 	// Subscribe registers an entry; its first update is full, unless this entry has no state yet.
 	Subscribe(ctx context.Context, entry EntryRecord) FeedSubscription
+	// Contact returns this entry's contact with the store.
+	Contact(ctx context.Context) StoreContact
 }
 
 // FeedSubscription is the subscription of one entry.
--- a/io/kctfeed/client.go
+++ b/io/kctfeed/client.go
@@ -28,14 +28,9 @@
 	return &Client{timer: timer, decode: decode}
 }
 
-// Follow subscribes to a reader and passes its updates to handle until the feed fails or the context ends; the error wraps ErrUnavailable.
-func (c *Client) Follow(ctx context.Context, reader kctport.EntryRecord, self func() kctport.EntryRecord, handle func(kctport.FeedUpdate)) error {
-	d := net.Dialer{Timeout: dialTimeout}
-	conn, err := d.DialContext(ctx, "tcp", reader.Peer.String())
-	if err != nil {
-		return eris.Wrapf(kctport.ErrUnavailable, "connect to %s: %v", reader.ID, err)
-	}
-	s, err := kctmux.Open(conn, streamOptions)
+// Follow subscribes to an entry and passes its updates to handle until the feed fails or the context ends; the error wraps ErrUnavailable.
+func (c *Client) Follow(ctx context.Context, entry kctport.EntryRecord, self func() kctport.EntryRecord, handle func(kctport.FeedUpdate)) error {
+	s, err := open(ctx, entry)
 	if err != nil {
 		return err
 	}
@@ -49,11 +44,42 @@
 		defer close(heartbeatsDone)
 		c.sendHeartbeats(heartbeats, s, self)
 	}()
-	err = c.receive(s, sent, handle)
+	err = c.receive(s, entry.ID, sent, handle)
 	stop()
 	s.Close()
 	<-heartbeatsDone
-	return eris.Wrapf(kctport.ErrUnavailable, "feed from %s: %v", reader.ID, err)
+	return eris.Wrapf(kctport.ErrUnavailable, "feed from %s: %v", entry.ID, err)
+}
+
+// Contact asks an entry for its contact with the store, without subscribing; the error wraps ErrUnavailable.
+func (c *Client) Contact(ctx context.Context, entry, self kctport.EntryRecord) (kctport.StoreContact, error) {
+	s, err := open(ctx, entry)
+	if err != nil {
+		return kctport.StoreContact{}, err
+	}
+	defer s.Close()
+	release := context.AfterFunc(ctx, s.Close)
+	defer release()
+	asked := c.timer.Now()
+	var m kctproto.FeedUpdate
+	err = s.Send(&kctproto.FeedHello{Self: encodeEntry(self), Ask: true})
+	if err == nil {
+		err = s.Receive(&m)
+	}
+	if err != nil {
+		return kctport.StoreContact{}, eris.Wrapf(kctport.ErrUnavailable, "contact of %s: %v", entry.ID, err)
+	}
+	return decodeContact(&m, entry.ID, c.timer.Now().Sub(asked)), nil
+}
+
+// open connects to an entry.
+func open(ctx context.Context, entry kctport.EntryRecord) (*kctmux.Stream, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", entry.Peer.String())
+	if err != nil {
+		return nil, eris.Wrapf(kctport.ErrUnavailable, "connect to %s: %v", entry.ID, err)
+	}
+	return kctmux.Open(conn, streamOptions)
 }
 
 // sendHeartbeats sends this entry's record at each interval until the context ends or a write fails; it then closes the stream, which also ends receive.
@@ -74,7 +100,7 @@
 
 // receive passes updates to handle and acknowledges each. The sender sends the next update only then, so that the time since the last acknowledgement,
 // less the time for which the sender held the update back, covers any transmission delay.
-func (c *Client) receive(s *kctmux.Stream, acknowledged time.Time, handle func(kctport.FeedUpdate)) error {
+func (c *Client) receive(s *kctmux.Stream, sender kctport.InstanceID, acknowledged time.Time, handle func(kctport.FeedUpdate)) error {
 	for {
 		var m kctproto.FeedUpdate
 		if err := s.Receive(&m); err != nil {
@@ -84,9 +110,8 @@
 		if err != nil {
 			return err
 		}
-		delay := max(0, c.timer.Now().Sub(acknowledged)-time.Duration(m.GetHeld()))
-		f.StoreAge += delay
-		f.StoreSilence += delay
+		delay := c.timer.Now().Sub(acknowledged) - time.Duration(m.GetHeld())
+		f.Store = decodeContact(&m, sender, max(0, delay))
 		handle(f)
 		acknowledged = c.timer.Now()
 		if err := s.Send(acknowledgement); err != nil {
--- a/io/kctfeed/encoder.go
+++ b/io/kctfeed/encoder.go
@@ -35,12 +35,18 @@
 	return &encoder{compressed: map[string]compressed{}}
 }
 
-// encodeUpdate encodes an update; on the wire away is StoreUnreachable, age is StoreAge and gone is FeedMember.Unsubscribed.
-func (e *encoder) encodeUpdate(f kctport.FeedUpdate) *kctproto.FeedUpdate {
-	m := &kctproto.FeedUpdate{
-		Full: f.Full, Away: f.StoreUnreachable, Age: int64(f.StoreAge), Steady: int64(f.StoreSteady), Revision: uint64(f.Revision),
-		Silence: int64(f.StoreSilence),
+// encodeContact encodes an update without records; on the wire away is the lack of a watcher.
+func encodeContact(c kctport.StoreContact) *kctproto.FeedUpdate {
+	return &kctproto.FeedUpdate{
+		Away: c.Watcher == "", Age: int64(c.Age), Steady: int64(c.Steady), Revision: uint64(c.Revision), Silence: int64(c.Silence),
+		Watcher: string(c.Watcher), Hops: uint32(c.Hops),
 	}
+}
+
+// encodeUpdate encodes an update; on the wire gone is FeedMember.Unsubscribed.
+func (e *encoder) encodeUpdate(f kctport.FeedUpdate) *kctproto.FeedUpdate {
+	m := encodeContact(f.Store)
+	m.Full = f.Full
 	for _, c := range f.Changes {
 		m.Records = append(m.Records, e.encodeRecord(c))
 	}
--- a/io/kctfeed/feed_test.go
+++ b/io/kctfeed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"testing"
@@ -22,6 +23,7 @@
 
 // source is a FeedSource that sends the same updates to every subscriber.
 type source struct {
+	contact    kctport.StoreContact
 	updates    []kctport.FeedUpdate
 	heartbeats chan kctport.EntryRecord
 	ended      chan struct{}
@@ -49,6 +51,8 @@
 	return u
 }
 
+func (s *source) Contact(context.Context) kctport.StoreContact { return s.contact }
+
 func (u *subscription) Updates() <-chan kctport.FeedUpdate { return u.out }
 
 func (u *subscription) Heartbeat(_ context.Context, e kctport.EntryRecord) {
@@ -85,7 +89,7 @@
 	member := kctport.EntryRecord{ID: "m", Zone: "z", Caller: address, Peer: address, Leaving: true, Load: 0.3, Cores: 0.192}
 	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{
 		{Full: true, Changes: []kctport.RegistryChange{{Key: "large", Value: large, Revision: 7}}, Members: []kctport.FeedMember{{Origin: "r", Entry: member}}},
-		{Changes: []kctport.RegistryChange{{Key: "small", Value: []byte("v"), Revision: 8}, {Key: "large", Revision: 9, Deleted: true}}, StoreUnreachable: true, StoreAge: time.Minute, StoreSteady: time.Hour, Revision: 9},
+		{Changes: []kctport.RegistryChange{{Key: "small", Value: []byte("v"), Revision: 8}, {Key: "large", Revision: 9, Deleted: true}}, Store: kctport.StoreContact{Watcher: "w", Hops: 1, Age: time.Minute, Silence: time.Second, Steady: time.Hour, Revision: 9}},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
@@ -110,7 +114,8 @@
 	if f := got[0]; !f.Full || !bytes.Equal(f.Changes[0].Value, large) || f.Changes[0].Revision != 7 || f.Members[0] != s.updates[0].Members[0] {
 		t.Errorf("first update: full %t, value of %d bytes, members %+v", f.Full, len(f.Changes[0].Value), f.Members)
 	}
-	if f := got[1]; !f.StoreUnreachable || f.StoreAge < time.Minute || f.StoreAge > time.Minute+10*time.Second || f.StoreSteady != time.Hour || f.Revision != 9 || string(f.Changes[0].Value) != "v" || !f.Changes[1].Deleted {
+	if f := got[1]; f.Store.Watcher != "w" || f.Store.Hops != 1 || f.Store.Age < time.Minute || f.Store.Age > time.Minute+10*time.Second || f.Store.Silence < time.Second || f.Store.Silence > 11*time.Second ||
+		f.Store.Steady != time.Hour || f.Store.Revision != 9 || string(f.Changes[0].Value) != "v" || !f.Changes[1].Deleted {
 		t.Errorf("second update %+v", f)
 	}
 	<-s.ended
@@ -147,7 +152,7 @@
 func TestDelayedUpdate(t *testing.T) {
 	const delay = 300 * time.Millisecond
 	address := freeAddress(t)
-	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{{Full: true}, {StoreAge: time.Millisecond}}}
+	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{{Full: true}, {Store: kctport.StoreContact{Watcher: "w", Age: time.Millisecond}}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
 	if err != nil {
@@ -165,7 +170,7 @@
 	entry := kctport.EntryRecord{ID: "m", Caller: address, Peer: address}
 	err = kctfeed.NewClient(kcttimer.New(), decode).Follow(follow, kctport.EntryRecord{ID: "r", Peer: proxied},
 		func() kctport.EntryRecord { return entry }, func(f kctport.FeedUpdate) {
-			if ages = append(ages, f.StoreAge); len(ages) == 2 {
+			if ages = append(ages, f.Store.Age); len(ages) == 2 {
 				stop()
 			}
 		})
@@ -195,7 +200,7 @@
 	entry := kctport.EntryRecord{ID: "m", Caller: address, Peer: address}
 	err = kctfeed.NewClient(kcttimer.New(), decode).Follow(follow, kctport.EntryRecord{ID: "r", Peer: address},
 		func() kctport.EntryRecord { return entry }, func(f kctport.FeedUpdate) {
-			switch ages = append(ages, f.StoreAge); len(ages) {
+			switch ages = append(ages, f.Store.Age); len(ages) {
 			case 1:
 				// The second update waits at the sender.
 				time.Sleep(wait)
@@ -216,3 +221,29 @@
 	cancel()
 	<-served
 }
+
+// TestContact guards against an entry that is subscribed, or gets all records, although it only asked for the contact with the store.
+func TestContact(t *testing.T) {
+	address := freeAddress(t)
+	s := &source{
+		contact:    kctport.StoreContact{Watcher: "w", Hops: 1, Age: time.Minute, Silence: time.Second, Steady: time.Hour, Revision: 9},
+		heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := kctfeed.NewClient(kcttimer.New(), decode)
+	entry := kctport.EntryRecord{ID: "m", Caller: address, Peer: address}
+	got, err := c.Contact(ctx, kctport.EntryRecord{ID: "r", Peer: address}, entry)
+	got.Age, got.Silence = got.Age.Round(10*time.Second), got.Silence.Round(10*time.Second)+s.contact.Silence
+	if err != nil || got != s.contact || s.last != nil {
+		t.Errorf("contact %+v, %v, subscribed %t; want %+v without a subscription", got, err, s.last != nil, s.contact)
+	}
+	if _, err := c.Contact(ctx, kctport.EntryRecord{ID: "r", Peer: freeAddress(t)}, entry); !errors.Is(err, kctport.ErrUnavailable) {
+		t.Errorf("contact of an entry that does not run: %v, want %v", err, kctport.ErrUnavailable)
+	}
+	cancel()
+	<-served
+}
--- a/io/kctfeed/message.go
+++ b/io/kctfeed/message.go
@@ -45,15 +45,24 @@
 	}, nil
 }
 
-func decodeUpdate(m *kctproto.FeedUpdate, decode Decoder) (kctport.FeedUpdate, error) {
-	f := kctport.FeedUpdate{
-		Full: m.GetFull(), StoreUnreachable: m.GetAway(), StoreAge: time.Duration(m.GetAge()), StoreSteady: time.Duration(m.GetSteady()),
-		Revision: kctport.StoreRevision(m.GetRevision()), StoreSilence: time.Duration(m.GetSilence()),
+// decodeContact decodes what the sender says of the store; delay bounds the time since the update was made.
+func decodeContact(m *kctproto.FeedUpdate, sender kctport.InstanceID, delay time.Duration) kctport.StoreContact {
+	c := kctport.StoreContact{
+		Watcher: kctport.InstanceID(m.GetWatcher()), Hops: int(m.GetHops()), Age: time.Duration(m.GetAge()) + delay,
+		Silence: time.Duration(m.GetSilence()) + delay, Steady: time.Duration(m.GetSteady()), Revision: kctport.StoreRevision(m.GetRevision()),
+	}
+	if m.GetSilence() == 0 {
+		c.Silence = c.Age
 	}
-	if f.StoreSteady == 0 {
-		// The reader doesn't report its silence, or has just reached the store again.
-		f.StoreSilence = f.StoreAge
+	if c.Watcher == "" && !m.GetAway() {
+		// Entries of the former version don't name the watcher; those that are followed watch the store themselves.
+		c.Watcher = sender
 	}
+	return c
+}
+
+func decodeUpdate(m *kctproto.FeedUpdate, decode Decoder) (kctport.FeedUpdate, error) {
+	f := kctport.FeedUpdate{Full: m.GetFull()}
 	for _, r := range m.GetRecords() {
 		value := r.GetValue()
 		if r.GetCompressed() {
--- a/io/kctfeed/server.go
+++ b/io/kctfeed/server.go
@@ -35,6 +35,9 @@
 	if err := st.Receive(&hello); err != nil {
 		return err
 	}
+	if hello.GetAsk() {
+		return s.answer(ctx, st)
+	}
 	entry, err := decodeEntry(hello.GetSelf())
 	if err != nil {
 		return err
@@ -55,6 +58,14 @@
 	return err
 }
 
+// answer sends the contact with the store and waits until the other end, which has what it asked for, closes the stream.
+func (s *Server) answer(ctx context.Context, st *kctmux.Stream) error {
+	if err := st.Send(encodeContact(s.source.Contact(ctx))); err != nil {
+		return err
+	}
+	return st.Receive(&kctproto.FeedHello{})
+}
+
 // read handles heartbeats and acknowledgements until the stream ends.
 func (s *Server) read(ctx context.Context, st *kctmux.Stream, subscription kctport.FeedSubscription, acknowledged chan<- struct{}) error {
 	for {
@@ -86,8 +97,8 @@
 	for f := range updates {
 		now := s.timer.Now()
 		waited := now.Sub(f.Made)
-		f.StoreAge += waited
-		f.StoreSilence += waited
+		f.Store.Age += waited
+		f.Store.Silence += waited
 		m := s.encoder.encodeUpdate(f)
 		m.Held = int64(now.Sub(allowed))
 		if err := st.Send(m); err != nil {
--- a/registry.go
+++ b/registry.go
@@ -125,8 +125,12 @@
 	// ActiveShares is the number of entries among which connections and the slack of the retry budget are divided: the active entries and one
 	// that may just have been active, or LimitShares when this entry is not active.
 	ActiveShares int
-	// LastContact is when the store last answered this entry or the reader that it follows.
+	// LastContact is the time up to which all changes of the store are known.
 	LastContact time.Time
+	// Watcher is the entry that watches the store and whose observations this entry gets, empty while there is no contact with the store; WatcherHops
+	// is the number of feeds between the two.
+	Watcher     InstanceID
+	WatcherHops int
 	// Draining is set while this entry shuts down.
 	Draining bool
 }
