Say 404 only under rules that hold every version that must be in force

A missing route was refused with 404 until the state was 4 s old. Changes must be in force within 3 s (5 s on the grown sites), so that for a second the answer could deny a route that had been acknowledged in time.

The bound is the deadline of the settings now. TestMissingRouteUnderOldRules fails without the change ("rules 3s old: status 404 ..., want 503").

--- a/core/kctforward/engine.go
+++ b/core/kctforward/engine.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// staleAfter is the age of the last contact with the store beyond which a missing route may have been added without this entry having received it.
-	staleAfter = 4 * time.Second
+	// defaultApplyDeadline is the time within which a change of the rules must be in force.
+	defaultApplyDeadline = 3 * time.Second
 	// returnReserve is kept for sending the answer to the caller and for the caller's connection setup before the request.
 	returnReserve = 14 * time.Millisecond
 	// deadlineReserve is the time before the deadline at which the reply is decided, so that it reaches the caller in time.
@@ -44,6 +44,7 @@
 	splitter        *kctroutetable.Splitter
 	observer        Observer
 	attemptObserver kctport.Observer
+	applyDeadline   time.Duration
 	// coverages holds the strictest coverage by priority of the rules for which it was last computed.
 	coverages atomic.Pointer[coverages]
 }
@@ -72,7 +73,7 @@
 // NewEngine returns an engine that sends attempts through the exchanger and reports each request's trace to the observer.
 func NewEngine(fleets kctport.Fleets, timer kctport.Timer, exchanger kctport.Exchanger, p Policies, observer Observer, opts ...Option) *Engine {
 	e := &Engine{
-		fleets: fleets, timer: timer, exchanger: exchanger, observer: observer, attemptObserver: noopObserver{},
+		fleets: fleets, timer: timer, exchanger: exchanger, observer: observer, attemptObserver: noopObserver{}, applyDeadline: defaultApplyDeadline,
 		balancer: p.Balancer, budget: p.Budget, delays: p.Delays, splitter: p.Splitter,
 	}
 	for _, o := range opts {
@@ -89,6 +90,11 @@
 	return func(e *Engine) { e.attemptObserver = o }
 }
 
+// WithApplyDeadline sets the time within which a change of the rules must be in force.
+func WithApplyDeadline(deadline time.Duration) Option {
+	return func(e *Engine) { e.applyDeadline = deadline }
+}
+
 type noopObserver struct{}
 
 func (noopObserver) Observe(kctport.Observation) {}
@@ -117,8 +123,8 @@
 	if route != nil {
 		return kctport.Reply{}, route
 	}
-	if now.Sub(fleet.LastContact) > staleAfter {
-		// The route may have been added since the last contact with the store.
+	if now.Sub(fleet.LastContact) >= e.applyDeadline {
+		// A version that has the route may have been acknowledged so long ago that it must be in force.
 		return refusal("no route, and the rules may be out of date"), nil
 	}
 	return kctport.Reply{Status: statusNotFound, Local: true, Reason: "no route"}, nil
--- a/core/kctforward/engine_test.go
+++ b/core/kctforward/engine_test.go
@@ -105,14 +105,14 @@
 }
 
 // forward sends one request through a new engine and returns its reply and trace.
-func forward(t *testing.T, f *kctport.Fleet, e *endpoints) (kctport.Reply, *kctforward.Trace) {
+func forward(t *testing.T, f *kctport.Fleet, e *endpoints, opts ...kctforward.Option) (kctport.Reply, *kctforward.Trace) {
 	t.Helper()
 	settings := kctbalance.BudgetSettings{Ratio: 0.2, Slack: 100}
 	observer := &traces{}
 	engine := kctforward.NewEngine(&fleets{f}, kcttimer.New(), e, kctforward.Policies{
 		Balancer: kctbalance.New("", 1), Budget: kctbalance.NewBudget(settings),
 		Delays: kctbalance.NewHedgeDelays(), Splitter: kctroutetable.NewSplitter(),
-	}, observer)
+	}, observer, opts...)
 	now := time.Now()
 	reply := engine.Forward(t.Context(), &kctport.Message{ID: "1", Method: "GET", Host: "h", Path: "/a/b", Received: now, Deadline: now.Add(time.Second)})
 	return reply, observer.last
@@ -174,7 +174,7 @@
 }
 
 // TestRefusals guards against a 404 for a route that may exist: while the entry has no rules, or rules that may be out of
-// date since the store was last contacted more than 4 s ago, the request is refused with 503.
+// date, the request is refused with 503.
 func TestRefusals(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := fleet(kctport.Route{Host: "other", Prefix: "/"}, "s")
@@ -191,6 +191,29 @@
 	})
 }
 
+// TestMissingRouteUnderOldRules guards against a 404 for a route of a version that must be in force: rules that are as old as the time within which a
+// change must be in force, or older, say nothing of a missing route. Rules up to 4 s old did, where changes must be in force within 3 s.
+func TestMissingRouteUnderOldRules(t *testing.T) {
+	for _, c := range []struct {
+		deadline, age time.Duration
+		status        int
+	}{
+		{3 * time.Second, 2900 * time.Millisecond, 404},
+		{3 * time.Second, 3 * time.Second, 503},
+		{3 * time.Second, 3500 * time.Millisecond, 503},
+		{5 * time.Second, 4900 * time.Millisecond, 404},
+		{5 * time.Second, 5 * time.Second, 503},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			f := fleet(kctport.Route{Host: "other", Prefix: "/"}, "s")
+			time.Sleep(c.age)
+			if reply, _ := forward(t, f, &endpoints{}, kctforward.WithApplyDeadline(c.deadline)); reply.Status != c.status {
+				t.Errorf("deadline %v, rules %v old: status %d without a route, want %d", c.deadline, c.age, reply.Status, c.status)
+			}
+		})
+	}
+}
+
 // TestGather guards against a wrong count of missing shards, a success below the minimum coverage, and an answer that
 // waits for a straggler beyond the objective.
 func TestGather(t *testing.T) {
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -107,7 +107,8 @@
 	n.metrics.RegisterFleet(n.control, n.timer, n.policies.Balancer, n.egress.Opened, n.droppedLines)
 	n.relay = kctrelay.NewClient(n.timer)
 	path := kctrelaypath.New(n.self(), n.control, n.egress, n.relay, n.timer)
-	engine := kctforward.NewEngine(n.control, n.timer, path, n.policies, observers{log, n.metrics}, kctforward.WithAttemptObserver(n.control))
+	engine := kctforward.NewEngine(n.control, n.timer, path, n.policies, observers{log, n.metrics},
+		kctforward.WithAttemptObserver(n.control), kctforward.WithApplyDeadline(settings.Apply))
 	n.ingress = kctingress.New(settings.Caller, engine, n.control, kctadapter.Dialect{}, n.timer)
 	return n
 }
