--- a/core/kctfleet/record.go
+++ b/core/kctfleet/record.go
@@ -89,12 +89,15 @@
 	if c.Rules == nil {
 		return []event{{message: "rules unusable", key: c.Key, detail: c.Problem}}
 	}
+	detail := fmt.Sprintf("from %s, revision %d, store age %v", s.source, c.Revision, storeAge(now, s.contact.complete).Round(time.Millisecond))
 	if s.rules != nil && c.Rules.Version <= s.rules.Version {
-		return nil
+		if c.Revision == s.rulesChange.Revision {
+			return nil
+		}
+		return []event{{message: "rules not adopted", key: c.Key, version: c.Rules.Version, detail: detail + ", not newer than those in force"}}
 	}
 	s.rules, s.table, s.rulesChange = c.Rules, kctroutetable.NewTable(c.Rules), c
 	s.outbox = append(s.outbox, c)
-	detail := fmt.Sprintf("from %s, store age %v", s.source, storeAge(now, s.contact.complete).Round(time.Millisecond))
 	return []event{{message: "rules adopted", key: c.Key, version: c.Rules.Version, detail: detail}}
 }
 
