--- a/io/kctfeed/encoder_test.go
+++ b/io/kctfeed/encoder_test.go
@@ -24,3 +24,16 @@
 		t.Error("the compressed value of an older revision was sent")
 	}
 }
+
+// TestRevisionGivenOutAgain guards against the old value of a key in place of its new one, when a store that has come back from an older copy gives out the
+// revision of the old one again.
+func TestRevisionGivenOutAgain(t *testing.T) {
+	e := newEncoder()
+	value := func(text string) []byte { return bytes.Repeat([]byte(text), 1000) }
+	for _, want := range [][]byte{value("old rules"), value("new rules"), value("new rules")} {
+		sent := e.encodeRecord(kctport.RegistryChange{Key: "rules", Value: want, Revision: 57})
+		if got, err := decompress(sent.GetValue()); err != nil || !bytes.Equal(got, want) {
+			t.Errorf("sent %.9q for %.9q, %v", got, want, err)
+		}
+	}
+}
