Find a compressed value by the value, not by its revision

Cause: the encoder of feeds keeps the compressed value of each key with its revision. The store gives out revisions again after it has come back from an older copy; the new rules had the revision of old ones, and the old value was sent for them to all subscribers, at once and to each later one.

The value itself is compared now, which costs no more than a copy of it and depends on no revision.

--- a/io/kctfeed/encoder.go
+++ b/io/kctfeed/encoder.go
@@ -21,14 +21,15 @@
 // encoder encodes updates; it compresses each large value once for all subscribers.
 type encoder struct {
 	mu sync.Mutex
-	// compressed holds the last compressed value of each key.
+	// compressed holds the last large value of each key.
 	compressed map[string]compressed
 }
 
-// compressed is the compressed value of a key at a revision.
+// compressed is a value of a key with its compressed form. It is found by the value itself, since a store that comes back from an older copy gives out
+// revisions again.
 type compressed struct {
-	revision kctport.StoreRevision
-	value    []byte
+	value []byte
+	sent  []byte
 }
 
 func newEncoder() *encoder {
@@ -64,11 +65,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.compressed[c.Key]
-	if p.value == nil || p.revision != c.Revision {
-		p = compressed{c.Revision, compress(c.Value)}
+	if !bytes.Equal(p.value, c.Value) {
+		p = compressed{c.Value, compress(c.Value)}
 		e.compressed[c.Key] = p
 	}
-	r.Value, r.Compressed = p.value, true
+	r.Value, r.Compressed = p.sent, true
 	return r
 }
 
