Give the revisions of the store the era to which they belong

Cause: a store that comes back from an older copy gives out revisions again, and a revision without its era was taken for a position in the history and for an order of changes. A change with a lower revision than its record had before lost against it: an endpoint that left after the return, or was removed, stayed in use until its next change with a higher one.

A revision is an era and a number now; those of a later era are newer. Feeds pass the era on, and what a feed says of the store in a former era is no contact with it. A record that a copy still has as it was known is not passed on as a change.

--- a/core/kctfleet/bench_test.go
+++ b/core/kctfleet/bench_test.go
@@ -14,10 +14,10 @@
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			s := sizedState(n)
 			b.ReportAllocs()
-			revision := kctport.StoreRevision(n)
+			number := uint64(n)
 			for b.Loop() {
-				revision++
-				s.apply(start, sizedEndpoint(int(revision)%n, revision))
+				number++
+				s.apply(start, sizedEndpoint(int(number)%n, number))
 				s.outbox = nil
 				s.fleet(start)
 			}
@@ -39,7 +39,7 @@
 func sizedState(n int) *state {
 	s := newTestState(kctport.EntryRecord{ID: "e", Zone: "z"})
 	for i := range n {
-		s.apply(start, sizedEndpoint(i, kctport.StoreRevision(i+1)))
+		s.apply(start, sizedEndpoint(i, uint64(i+1)))
 	}
 	for i := range n / 17 {
 		e := kctport.EntryRecord{ID: kctport.InstanceID(fmt.Sprint("m", i)), Zone: kctport.Zone(fmt.Sprint("z", i%17)), Cores: 1, Load: 0.1}
@@ -49,8 +49,8 @@
 	return s
 }
 
-func sizedEndpoint(i int, revision kctport.StoreRevision) kctport.RegistryChange {
-	c := endpointChange(fmt.Sprint("i-", i), revision)
+func sizedEndpoint(i int, number uint64) kctport.RegistryChange {
+	c := endpointChange(fmt.Sprint("i-", i), number)
 	c.Endpoint.Service = kctport.ServiceName(fmt.Sprint("s", i/17))
 	return c
 }
--- a/core/kctfleet/contact.go
+++ b/core/kctfleet/contact.go
@@ -61,7 +61,7 @@
 	own       ownCalls
 	// feeds holds the last observation of each feed that this entry follows.
 	feeds map[*link]observation
-	// complete is the time up to which all changes have been applied, and revision the store's revision then, 0 while it is not known.
+	// complete is the time up to which all changes have been applied, and revision the store's revision then, zero while it is not known.
 	complete time.Time
 	revision kctport.StoreRevision
 	// heard is when the store last answered anybody, as far as this entry knows.
@@ -98,9 +98,9 @@
 	return o, c.own.watching && !c.own.failing && now.Sub(o.complete) <= c.maxAge
 }
 
-// isContact reports whether the observation of a feed shows contact with the store.
+// isContact reports whether the observation of a feed shows contact with the store; one of a former era says nothing of the store as it is now.
 func (c *storeContact) isContact(o observation, now time.Time) bool {
-	return o.watcher != "" && o.watcher != c.self && o.hops <= maxHops && now.Sub(o.complete) <= c.maxAge
+	return o.watcher != "" && o.watcher != c.self && o.hops <= maxHops && now.Sub(o.complete) <= c.maxAge && o.revision.Era >= c.revision.Era
 }
 
 // inContact reports whether the state is known to be complete up to less than maxAge ago.
@@ -127,7 +127,7 @@
 func (c *storeContact) ownChanges(now time.Time, revision kctport.StoreRevision) {
 	c.ownReply(now)
 	c.own.complete, c.complete = now, now
-	c.revision = max(c.revision, revision)
+	c.revision = kctport.LatestRevision(c.revision, revision)
 }
 
 // ownFailure records a call of this entry that was not answered.
@@ -182,7 +182,7 @@
 
 // record records up to when the store is known to have answered and the state to be complete.
 func (c *storeContact) record(o observation) {
-	c.complete, c.heard, c.revision = latest(c.complete, o.complete), latest(c.heard, o.reply), max(c.revision, o.revision)
+	c.complete, c.heard, c.revision = latest(c.complete, o.complete), latest(c.heard, o.reply), kctport.LatestRevision(c.revision, o.revision)
 }
 
 // lose records the loss of contact.
--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -19,7 +19,7 @@
 type registry struct {
 	mu          sync.Mutex
 	readers     map[kctport.Zone]kctport.EntryRecord
-	claims      kctport.StoreRevision
+	claims      uint64
 	rules       kctport.RulesVersion
 	unavailable bool
 	// quiet makes a watch last until a record is removed or its wait ends, instead of 100 ms.
@@ -29,7 +29,7 @@
 	extra    []kctport.RegistryChange
 	removed  []kctport.RegistryChange
 	saved    kctport.RegistryChange
-	revision kctport.StoreRevision
+	revision uint64
 }
 
 func (r *registry) check() error {
@@ -43,16 +43,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.loads++
-	l := kctport.RegistryState{Changes: []kctport.RegistryChange{rules(r.rules, kctport.StoreRevision(r.rules))}}
+	l := kctport.RegistryState{Changes: []kctport.RegistryChange{rules(r.rules, uint64(r.rules))}}
 	for zone, e := range r.readers {
-		l.Changes = append(l.Changes, kctport.RegistryChange{Kind: kctport.RecordReader, Key: "readers/" + string(zone), Revision: r.claims, Reader: &e})
+		l.Changes = append(l.Changes, kctport.RegistryChange{Kind: kctport.RecordReader, Key: "readers/" + string(zone), Revision: revision(r.claims), Reader: &e})
 	}
 	l.Changes = append(l.Changes, r.extra...)
 	if r.saved.Progress != nil {
 		l.Changes = append(l.Changes, r.saved)
 	}
 	for _, c := range slices.Concat(l.Changes, r.removed) {
-		l.Revision = max(l.Revision, c.Revision)
+		l.Revision = kctport.LatestRevision(l.Revision, c.Revision)
 	}
 	return l, r.check()
 }
@@ -73,7 +73,7 @@
 	l, err := r.Load(ctx)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append(l.Changes, r.removed...), max(after, l.Revision), err
+	return append(l.Changes, r.removed...), kctport.LatestRevision(after, l.Revision), err
 }
 
 func (r *registry) removals() int {
@@ -83,12 +83,12 @@
 }
 
 // remove deletes a record of extra.
-func (r *registry) remove(key string, revision kctport.StoreRevision) {
+func (r *registry) remove(key string, number uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i, c := range r.extra {
 		if c.Key == key {
-			r.removed = append(r.removed, deletion(c, revision))
+			r.removed = append(r.removed, deletion(c, number))
 			r.extra = slices.Delete(r.extra, i, i+1)
 			return
 		}
@@ -135,7 +135,7 @@
 		return kctport.ErrConflict
 	}
 	r.revision++
-	r.saved = kctport.RegistryChange{Kind: kctport.RecordProgress, Key: "progress", Revision: r.revision, Progress: &p}
+	r.saved = kctport.RegistryChange{Kind: kctport.RecordProgress, Key: "progress", Revision: revision(r.revision), Progress: &p}
 	return nil
 }
 
--- a/core/kctfleet/link.go
+++ b/core/kctfleet/link.go
@@ -96,7 +96,7 @@
 func describeContact(c kctport.StoreContact) string {
 	age, silence := c.Age.Round(time.Millisecond), c.Silence.Round(time.Millisecond)
 	if c.Watcher == "" {
-		return fmt.Sprintf("no contact with the store, age %v, last reply %v before, revision %d", age, silence, c.Revision)
+		return fmt.Sprintf("no contact with the store, age %v, last reply %v before, revision %v", age, silence, c.Revision)
 	}
-	return fmt.Sprintf("the store is watched by %s, %d feeds away, age %v, last reply %v before, revision %d", c.Watcher, c.Hops, age, silence, c.Revision)
+	return fmt.Sprintf("the store is watched by %s, %d feeds away, age %v, last reply %v before, revision %v", c.Watcher, c.Hops, age, silence, c.Revision)
 }
--- a/core/kctfleet/move.go
+++ b/core/kctfleet/move.go
@@ -48,7 +48,7 @@
 	kctport.MoveRequest
 	id       string
 	progress *kctport.MoveProgress
-	// revision is that of the service's progress record, 0 without one.
+	// revision is that of the service's progress record, zero without one.
 	revision kctport.StoreRevision
 }
 
@@ -57,7 +57,7 @@
 	byService := map[kctport.ServiceName]requestedMove{}
 	for _, r := range s.moveRecords {
 		if r.Move != nil {
-			byService[r.Move.Service] = requestedMove{MoveRequest: *r.Move, id: fmt.Sprintf("%s@%d", r.Move.To, r.Revision)}
+			byService[r.Move.Service] = requestedMove{MoveRequest: *r.Move, id: fmt.Sprintf("%s@%d", r.Move.To, r.Revision.Number)}
 		}
 	}
 	for _, r := range s.moveRecords {
--- a/core/kctfleet/move_test.go
+++ b/core/kctfleet/move_test.go
@@ -15,12 +15,12 @@
 func movingStore(duration time.Duration) *registry {
 	r := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1, revision: 100}
 	for i, id := range []string{"o1", "o2", "o3", "n1", "n2", "n3"} {
-		c := endpointChange(id, kctport.StoreRevision(i+1))
+		c := endpointChange(id, uint64(i+1))
 		c.Endpoint.Version = map[byte]kctport.VersionName{'o': "v1", 'n': "v2"}[id[0]]
 		r.extra = append(r.extra, c)
 	}
 	r.extra = append(r.extra, kctport.RegistryChange{
-		Kind: kctport.RecordMove, Key: "moves/s", Revision: 50, Move: &kctport.MoveRequest{Service: "s", To: "v2", Duration: duration},
+		Kind: kctport.RecordMove, Key: "moves/s", Revision: revision(50), Move: &kctport.MoveRequest{Service: "s", To: "v2", Duration: duration},
 	})
 	return r
 }
@@ -150,7 +150,7 @@
 		time.Sleep(time.Second)
 		store.mu.Lock()
 		delete(store.readers, "a")
-		store.extra = append(store.extra, kctport.RegistryChange{Kind: kctport.RecordReader, Key: "readers/a", Revision: 1000, Deleted: true})
+		store.extra = append(store.extra, kctport.RegistryChange{Kind: kctport.RecordReader, Key: "readers/a", Revision: revision(1000), Deleted: true})
 		store.mu.Unlock()
 		sendRequests(t, store, entries[1:], 3*time.Minute, func(float64) float64 { return 0 })
 		if p := store.progress(); p.State != kctport.MoveDone || !p.Announced || !p.Started.Equal(began) || p.Holder == "a" {
--- a/core/kctfleet/record.go
+++ b/core/kctfleet/record.go
@@ -1,6 +1,7 @@
 package kctfleet
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"slices"
@@ -25,7 +26,7 @@
 
 // isNewer reports whether the record, or its removal, is newer than a change; a record that is missing may come back unchanged.
 func (r *record) isNewer(c kctport.RegistryChange) bool {
-	return c.Revision < r.Revision || c.Revision == r.Revision && r.missingSince.IsZero() || c.Revision <= r.removal
+	return c.Revision.Before(r.Revision) || c.Revision == r.Revision && r.missingSince.IsZero() || !r.removal.Before(c.Revision)
 }
 
 // tombstone is a record that was removed.
@@ -35,7 +36,7 @@
 	at      time.Time
 }
 
-// applyFull replaces all records by a complete reading as of a revision, 0 for an unknown one; older records missing from it are deleted.
+// applyFull replaces all records by a complete reading as of a revision, zero for an unknown one; older records missing from it are deleted.
 func (s *state) applyFull(now time.Time, changes []kctport.RegistryChange, revision kctport.StoreRevision) []event {
 	var events []event
 	present := make(map[string]bool, len(changes))
@@ -44,14 +45,14 @@
 		events = append(events, s.apply(now, c)...)
 	}
 	for key, r := range s.records {
-		if present[key] || !r.missingSince.IsZero() || revision > 0 && r.Revision > revision {
+		if present[key] || !r.missingSince.IsZero() || !revision.IsZero() && revision.Before(r.Revision) {
 			continue
 		}
-		deletion := kctport.RegistryChange{Kind: r.Kind, Key: key, Zone: r.Zone, Revision: max(r.Revision, revision), Deleted: true}
+		deletion := kctport.RegistryChange{Kind: r.Kind, Key: key, Zone: r.Zone, Revision: kctport.LatestRevision(r.Revision, revision), Deleted: true}
 		events = append(events, s.apply(now, deletion)...)
-		if revision == 0 {
+		if revision.IsZero() {
 			// The record may be newer than the reading, so that it may come back unchanged.
-			r.removal = 0
+			r.removal = kctport.StoreRevision{}
 			delete(s.tombstones, key)
 		}
 	}
@@ -70,7 +71,12 @@
 	if c.Deleted {
 		return s.removeRecord(now, old, c)
 	}
-	if old != nil && old.isNewer(c) || old == nil && c.Revision <= s.tombstones[c.Key].removal {
+	if old != nil && old.isNewer(c) || old == nil && s.isRemoved(c) {
+		return nil
+	}
+	if old != nil && old.missingSince.IsZero() && c.Revision.Era != old.Revision.Era && bytes.Equal(c.Value, old.Value) {
+		// A copy of the store still has what is known.
+		old.Revision = c.Revision
 		return nil
 	}
 	delete(s.tombstones, c.Key)
@@ -84,12 +90,18 @@
 	return []event{changeEvent(old, c)}
 }
 
+// isRemoved reports whether the record was removed after the change.
+func (s *state) isRemoved(c kctport.RegistryChange) bool {
+	t, ok := s.tombstones[c.Key]
+	return ok && !t.removal.Before(c.Revision)
+}
+
 // adoptRules puts rules in force if their version is newer than the one in force.
 func (s *state) adoptRules(now time.Time, c kctport.RegistryChange) []event {
 	if c.Rules == nil {
 		return []event{{message: "rules unusable", key: c.Key, detail: c.Problem}}
 	}
-	detail := fmt.Sprintf("from %s, revision %d, store age %v", s.source, c.Revision, storeAge(now, s.contact.complete).Round(time.Millisecond))
+	detail := fmt.Sprintf("from %s, revision %v, store age %v", s.source, c.Revision, storeAge(now, s.contact.complete).Round(time.Millisecond))
 	if s.rules != nil && c.Rules.Version <= s.rules.Version {
 		if c.Revision == s.rulesChange.Revision {
 			return nil
@@ -106,11 +118,11 @@
 		s.addTombstone(now, c.Key, c.Revision)
 		return nil
 	}
-	if c.Revision < old.Revision {
+	if c.Revision.Before(old.Revision) {
 		return nil
 	}
 	if c.Kind == kctport.RecordEndpoint && s.contact.inLapseGrace(now) {
-		old.removal = max(old.removal, c.Revision)
+		old.removal = kctport.LatestRevision(old.removal, c.Revision)
 		if !old.missingSince.IsZero() {
 			return nil
 		}
@@ -134,7 +146,7 @@
 
 // addTombstone records the revision of a removal.
 func (s *state) addTombstone(now time.Time, key string, removal kctport.StoreRevision) {
-	s.tombstones[key] = tombstone{removal: max(removal, s.tombstones[key].removal), at: now}
+	s.tombstones[key] = tombstone{removal: kctport.LatestRevision(removal, s.tombstones[key].removal), at: now}
 }
 
 // expireRecords removes lapsed records that were not registered again after an outage, and tombstones whose retention has ended.
@@ -142,8 +154,8 @@
 	var events []event
 	for key, r := range s.lapsed {
 		if !s.contact.inLapseGrace(now) {
-			s.drop(now, key, max(r.Revision, r.removal))
-			s.outbox = append(s.outbox, kctport.RegistryChange{Kind: r.Kind, Key: key, Revision: max(r.Revision, r.removal), Deleted: true})
+			s.drop(now, key, kctport.LatestRevision(r.Revision, r.removal))
+			s.outbox = append(s.outbox, kctport.RegistryChange{Kind: r.Kind, Key: key, Revision: kctport.LatestRevision(r.Revision, r.removal), Deleted: true})
 			events = append(events, event{message: "record gone", key: key, detail: "not registered again after the outage of the store"})
 		}
 	}
--- a/core/kctfleet/sim_test.go
+++ b/core/kctfleet/sim_test.go
@@ -52,11 +52,11 @@
 }
 
 func newSimStore() *simStore {
-	return &simStore{records: map[string]kctport.RegistryChange{}, leases: map[kctport.Lease]*simLease{}, changed: make(chan struct{}), revision: 1}
+	return &simStore{records: map[string]kctport.RegistryChange{}, leases: map[kctport.Lease]*simLease{}, changed: make(chan struct{}), revision: revision(1)}
 }
 
 func (s *simStore) write(c kctport.RegistryChange) kctport.StoreRevision {
-	s.revision++
+	s.revision.Number++
 	c.Revision = s.revision
 	if c.Deleted {
 		delete(s.records, c.Key)
@@ -189,7 +189,7 @@
 		changed, revision := l.changed, l.revision
 		var changes []kctport.RegistryChange
 		for _, c := range l.history {
-			if c.Revision > after {
+			if after.Before(c.Revision) {
 				changes = append(changes, c)
 			}
 		}
--- a/core/kctfleet/state_test.go
+++ b/core/kctfleet/state_test.go
@@ -10,17 +10,22 @@
 
 var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
 
-func rules(version kctport.RulesVersion, revision kctport.StoreRevision) kctport.RegistryChange {
-	return kctport.RegistryChange{Kind: kctport.RecordRules, Key: "rules", Revision: revision, Rules: &kctport.Rules{Version: version}}
+// revision returns a revision of the first era.
+func revision(number uint64) kctport.StoreRevision {
+	return kctport.StoreRevision{Era: 1, Number: number}
 }
 
-func endpointChange(id string, revision kctport.StoreRevision) kctport.RegistryChange {
+func rules(version kctport.RulesVersion, number uint64) kctport.RegistryChange {
+	return kctport.RegistryChange{Kind: kctport.RecordRules, Key: "rules", Revision: revision(number), Rules: &kctport.Rules{Version: version}}
+}
+
+func endpointChange(id string, number uint64) kctport.RegistryChange {
 	s := &kctport.EndpointRecord{ID: kctport.InstanceID(id), Service: "s", Zone: "a", Slots: 4}
-	return kctport.RegistryChange{Kind: kctport.RecordEndpoint, Key: "servers/" + id, Revision: revision, Endpoint: s}
+	return kctport.RegistryChange{Kind: kctport.RecordEndpoint, Key: "servers/" + id, Revision: revision(number), Endpoint: s}
 }
 
-func deletion(c kctport.RegistryChange, revision kctport.StoreRevision) kctport.RegistryChange {
-	return kctport.RegistryChange{Kind: c.Kind, Key: c.Key, Zone: c.Zone, Revision: revision, Deleted: true}
+func deletion(c kctport.RegistryChange, number uint64) kctport.RegistryChange {
+	return kctport.RegistryChange{Kind: c.Kind, Key: c.Key, Zone: c.Zone, Revision: revision(number), Deleted: true}
 }
 
 // newTestState returns the state of an entry that watches the store from the start.
@@ -33,7 +38,7 @@
 
 // watched records an answer that brought no changes.
 func watched(s *state, now time.Time) {
-	s.contact.ownChanges(now, 0)
+	s.contact.ownChanges(now, kctport.StoreRevision{})
 	s.contact.assess(now)
 }
 
@@ -57,11 +62,11 @@
 	s := newTestState(kctport.EntryRecord{ID: "e"})
 	for _, c := range []kctport.RegistryChange{
 		rules(5, 1), rules(9, 4), rules(7, 3), rules(8, 9), deletion(rules(9, 0), 10),
-		{Kind: kctport.RecordRules, Key: "rules", Revision: 11, Problem: "unreadable"},
+		{Kind: kctport.RecordRules, Key: "rules", Revision: revision(11), Problem: "unreadable"},
 	} {
 		s.apply(start, c)
 	}
-	s.applyFull(start, nil, 0)
+	s.applyFull(start, nil, kctport.StoreRevision{})
 	if f := s.fleet(start); f.Rules == nil || f.Rules.Version != 9 {
 		t.Fatalf("rules %+v, want version 9", f.Rules)
 	}
@@ -71,7 +76,7 @@
 // that are kept after it.
 func TestLapsedRecords(t *testing.T) {
 	s := newTestState(kctport.EntryRecord{ID: "e"})
-	s.applyFull(start, []kctport.RegistryChange{endpointChange("lives", 1), endpointChange("dies", 2), endpointChange("leaves", 3)}, 0)
+	s.applyFull(start, []kctport.RegistryChange{endpointChange("lives", 1), endpointChange("dies", 2), endpointChange("leaves", 3)}, kctport.StoreRevision{})
 	s.apply(start, deletion(endpointChange("leaves", 0), 4))
 	if n := usableEndpoints(s, start); n != 2 {
 		t.Fatalf("%d endpoints, want 2: a record deleted while the store is reachable is removed at once", n)
@@ -79,7 +84,7 @@
 	failed(s, start)
 	reconnected := start.Add(5 * time.Second)
 	watched(s, reconnected)
-	s.applyFull(reconnected, nil, 0)
+	s.applyFull(reconnected, nil, kctport.StoreRevision{})
 	s.expire(reconnected)
 	if n := usableEndpoints(s, reconnected); n != 2 {
 		t.Fatalf("%d endpoints just after the outage, want 2", n)
@@ -136,25 +141,25 @@
 // lapsed records, still lists it.
 func TestRemovedRecordReturns(t *testing.T) {
 	removed := deletion(endpointChange("leaves", 0), 7)
-	reading := func(revision kctport.StoreRevision) func(s *state) {
-		return func(s *state) { s.applyFull(start, nil, revision) }
+	reading := func(r kctport.StoreRevision) func(s *state) {
+		return func(s *state) { s.applyFull(start, nil, r) }
 	}
 	change := func(s *state) { s.apply(start, removed) }
 	for name, c := range map[string]struct {
 		remove func(s *state)
 		// again is the revision of the record as the other reader lists it.
-		again  kctport.StoreRevision
+		again  uint64
 		usable int
 	}{
 		"removed by a change":                     {change, 2, 0},
-		"removed by a complete reading":           {reading(5), 2, 0},
+		"removed by a complete reading":           {reading(revision(5)), 2, 0},
 		"written before its removal":              {change, 6, 0},
-		"written before the reading":              {reading(5), 5, 0},
+		"written before the reading":              {reading(revision(5)), 5, 0},
 		"registered again":                        {change, 8, 1},
-		"registered again after a reading":        {reading(5), 6, 1},
-		"missing in a reading that is older":      {reading(1), 2, 1},
-		"missing in a reading of unknown age":     {reading(0), 2, 1},
-		"removed before it was known to be there": {func(s *state) { s.drop(start, "servers/leaves", 0); change(s) }, 2, 0},
+		"registered again after a reading":        {reading(revision(5)), 6, 1},
+		"missing in a reading that is older":      {reading(revision(1)), 2, 1},
+		"missing in a reading of unknown age":     {reading(kctport.StoreRevision{}), 2, 1},
+		"removed before it was known to be there": {func(s *state) { s.drop(start, "servers/leaves", kctport.StoreRevision{}); change(s) }, 2, 0},
 	} {
 		s := newTestState(kctport.EntryRecord{ID: "e"})
 		s.apply(start, endpointChange("leaves", 2))
@@ -173,7 +178,7 @@
 	s.apply(start, endpointChange("lapses", 2))
 	failed(s, start)
 	s.apply(start, deletion(endpointChange("lapses", 0), 7))
-	if f := s.fullState(start); len(f.Changes) != 1 || f.Changes[0].Revision != 2 {
+	if f := s.fullState(start); len(f.Changes) != 1 || f.Changes[0].Revision != revision(2) {
 		t.Errorf("full update %+v, want the record with revision 2", f.Changes)
 	}
 	s.apply(start, endpointChange("lapses", 6))
@@ -200,6 +205,41 @@
 	}
 }
 
+// laterEra returns a revision of the second era.
+func laterEra(number uint64) kctport.StoreRevision {
+	return kctport.StoreRevision{Era: 2, Number: number}
+}
+
+// TestRecordOfLaterEra guards against changes that are taken for older ones, because the store has come back from an older copy and gives out lower
+// revisions than before.
+func TestRecordOfLaterEra(t *testing.T) {
+	leaving := endpointChange("i", 58)
+	leaving.Revision, leaving.Endpoint.Leaving, leaving.Value = laterEra(58), true, []byte("leaving")
+	gone := deletion(endpointChange("i", 0), 0)
+	gone.Revision = laterEra(58)
+	newer := kctport.RegistryChange{Kind: kctport.RecordZoneOut, Key: "out/a", Zone: "a", Revision: laterEra(57)}
+	for name, c := range map[string]struct {
+		change kctport.RegistryChange
+		usable int
+	}{
+		"leaves":              {leaving, 0},
+		"is removed":          {gone, 0},
+		"its zone is out":     {newer, 0},
+		"is written as it is": {kctport.RegistryChange{Kind: kctport.RecordEndpoint, Key: "servers/i", Revision: laterEra(40), Endpoint: endpointChange("i", 0).Endpoint}, 1},
+	} {
+		s := newTestState(kctport.EntryRecord{ID: "e"})
+		s.apply(start, endpointChange("i", 60))
+		s.contact.ownChanges(start, revision(60))
+		// The store is asked again some seconds after its return.
+		now := start.Add(time.Minute)
+		s.apply(now, c.change)
+		s.expire(now)
+		if n := usableEndpoints(s, now); n != c.usable {
+			t.Errorf("%s: %d endpoints, want %d", name, n, c.usable)
+		}
+	}
+}
+
 // TestOlderRevisionIgnored guards against a page of a complete reading that overwrites a later change from the watch.
 func TestOlderRevisionIgnored(t *testing.T) {
 	s := newTestState(kctport.EntryRecord{ID: "e"})
@@ -215,7 +255,7 @@
 // TestZoneOutOfService guards against traffic to a zone that is out of service or to an endpoint whose record is unreadable.
 func TestZoneOutOfService(t *testing.T) {
 	s := newTestState(kctport.EntryRecord{ID: "e"})
-	out := kctport.RegistryChange{Kind: kctport.RecordZoneOut, Key: "out/a", Zone: "a", Revision: 2}
+	out := kctport.RegistryChange{Kind: kctport.RecordZoneOut, Key: "out/a", Zone: "a", Revision: revision(2)}
 	s.apply(start, endpointChange("i", 1))
 	s.apply(start, out)
 	if usableEndpoints(s, start) != 0 {
@@ -225,7 +265,7 @@
 	if usableEndpoints(s, start) != 1 {
 		t.Error("endpoints of the zone are not usable after its return to service")
 	}
-	s.apply(start, kctport.RegistryChange{Kind: kctport.RecordEndpoint, Key: "servers/i", Revision: 4, Problem: "unreadable"})
+	s.apply(start, kctport.RegistryChange{Kind: kctport.RecordEndpoint, Key: "servers/i", Revision: revision(4), Problem: "unreadable"})
 	if usableEndpoints(s, start) != 0 {
 		t.Error("the endpoint of an unreadable record is still usable")
 	}
@@ -239,7 +279,7 @@
 	old.Endpoint.Version, fresh.Endpoint.Version = "v1", "v2"
 	s.apply(start, old)
 	s.apply(start, fresh)
-	s.apply(start, kctport.RegistryChange{Kind: kctport.RecordMove, Key: "moves/s", Revision: 3, Move: &kctport.MoveRequest{Service: "s", To: "v2"}})
+	s.apply(start, kctport.RegistryChange{Kind: kctport.RecordMove, Key: "moves/s", Revision: revision(3), Move: &kctport.MoveRequest{Service: "s", To: "v2"}})
 	if list := s.fleet(start).Endpoints["s"]; len(list) != 1 || list[0].ID != "old" {
 		t.Errorf("before the move has begun: %+v, want old alone", list)
 	}
--- a/feed.go
+++ b/feed.go
@@ -43,7 +43,7 @@
 	Silence time.Duration
 	// Steady is how long the contact has lasted without interruption, which at the subscriber is a lower bound.
 	Steady time.Duration
-	// Revision is the store's revision up to which the sender has all changes; 0 when not known.
+	// Revision is the store's revision up to which the sender has all changes; zero when not known.
 	Revision StoreRevision
 }
 
--- a/forward.go
+++ b/forward.go
@@ -137,7 +137,8 @@
 type Registry interface {
 	// Load reads all records.
 	Load(ctx context.Context) (RegistryState, error)
-	// Watch returns the changes after a revision; no change within the wait is not an error.
+	// Watch returns the changes after a revision; no change within the wait is not an error. ErrCompacted means that some of them are not known any more, or
+	// that the revision is of a former era of the store.
 	Watch(ctx context.Context, after StoreRevision, wait time.Duration) ([]RegistryChange, StoreRevision, error)
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	Renew(ctx context.Context, lease Lease) error
@@ -148,7 +149,7 @@
 	// that of its former lease, is replaced.
 	Claim(ctx context.Context, entry EntryRecord, lease Lease) error
 	// SaveMove writes the progress of a move and the status for the operator, which shows the end of a move only once it is announced. It
-	// fails with ErrConflict when the record's revision isn't the expected one, 0 for a new record.
+	// fails with ErrConflict when the record's revision isn't the expected one, zero for a new record.
 	SaveMove(ctx context.Context, progress MoveProgress, expected StoreRevision) error
 }
 
--- a/io/kctfeed/encoder.go
+++ b/io/kctfeed/encoder.go
@@ -39,7 +39,7 @@
 // encodeContact encodes an update without records; on the wire away is the lack of a watcher.
 func encodeContact(c kctport.StoreContact) *kctproto.FeedUpdate {
 	return &kctproto.FeedUpdate{
-		Away: c.Watcher == "", Age: int64(c.Age), Steady: int64(c.Steady), Revision: uint64(c.Revision), Silence: int64(c.Silence),
+		Away: c.Watcher == "", Age: int64(c.Age), Steady: int64(c.Steady), Revision: c.Revision.Number, Era: c.Revision.Era, Silence: int64(c.Silence),
 		Watcher: string(c.Watcher), Hops: uint32(c.Hops),
 	}
 }
@@ -58,7 +58,7 @@
 }
 
 func (e *encoder) encodeRecord(c kctport.RegistryChange) *kctproto.FeedRecord {
-	r := &kctproto.FeedRecord{Key: c.Key, Revision: uint64(c.Revision), Value: c.Value, Deleted: c.Deleted}
+	r := &kctproto.FeedRecord{Key: c.Key, Revision: c.Revision.Number, Era: c.Revision.Era, Value: c.Value, Deleted: c.Deleted}
 	if len(c.Value) < minCompressSize {
 		return r
 	}
--- a/io/kctfeed/feed_test.go
+++ b/io/kctfeed/feed_test.go
@@ -88,8 +88,8 @@
 	address := freeAddress(t)
 	member := kctport.EntryRecord{ID: "m", Zone: "z", Caller: address, Peer: address, Leaving: true, Load: 0.3, Cores: 0.192}
 	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{
-		{Full: true, Changes: []kctport.RegistryChange{{Key: "large", Value: large, Revision: 7}}, Members: []kctport.FeedMember{{Origin: "r", Entry: member}}},
-		{Changes: []kctport.RegistryChange{{Key: "small", Value: []byte("v"), Revision: 8}, {Key: "large", Revision: 9, Deleted: true}}, Store: kctport.StoreContact{Watcher: "w", Hops: 1, Age: time.Minute, Silence: time.Second, Steady: time.Hour, Revision: 9}},
+		{Full: true, Changes: []kctport.RegistryChange{{Key: "large", Value: large, Revision: kctport.StoreRevision{Era: 1, Number: 7}}}, Members: []kctport.FeedMember{{Origin: "r", Entry: member}}},
+		{Changes: []kctport.RegistryChange{{Key: "small", Value: []byte("v"), Revision: kctport.StoreRevision{Era: 1, Number: 8}}, {Key: "large", Revision: kctport.StoreRevision{Era: 1, Number: 9}, Deleted: true}}, Store: kctport.StoreContact{Watcher: "w", Hops: 1, Age: time.Minute, Silence: time.Second, Steady: time.Hour, Revision: kctport.StoreRevision{Era: 1, Number: 9}}},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
 	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
@@ -111,11 +111,11 @@
 	if len(got) != 2 {
 		t.Fatalf("%d updates, want 2", len(got))
 	}
-	if f := got[0]; !f.Full || !bytes.Equal(f.Changes[0].Value, large) || f.Changes[0].Revision != 7 || f.Members[0] != s.updates[0].Members[0] {
+	if f := got[0]; !f.Full || !bytes.Equal(f.Changes[0].Value, large) || f.Changes[0].Revision != (kctport.StoreRevision{Era: 1, Number: 7}) || f.Members[0] != s.updates[0].Members[0] {
 		t.Errorf("first update: full %t, value of %d bytes, members %+v", f.Full, len(f.Changes[0].Value), f.Members)
 	}
 	if f := got[1]; f.Store.Watcher != "w" || f.Store.Hops != 1 || f.Store.Age < time.Minute || f.Store.Age > time.Minute+10*time.Second || f.Store.Silence < time.Second || f.Store.Silence > 11*time.Second ||
-		f.Store.Steady != time.Hour || f.Store.Revision != 9 || string(f.Changes[0].Value) != "v" || !f.Changes[1].Deleted {
+		f.Store.Steady != time.Hour || f.Store.Revision != (kctport.StoreRevision{Era: 1, Number: 9}) || string(f.Changes[0].Value) != "v" || !f.Changes[1].Deleted {
 		t.Errorf("second update %+v", f)
 	}
 	<-s.ended
@@ -226,7 +226,7 @@
 func TestContact(t *testing.T) {
 	address := freeAddress(t)
 	s := &source{
-		contact:    kctport.StoreContact{Watcher: "w", Hops: 1, Age: time.Minute, Silence: time.Second, Steady: time.Hour, Revision: 9},
+		contact:    kctport.StoreContact{Watcher: "w", Hops: 1, Age: time.Minute, Silence: time.Second, Steady: time.Hour, Revision: kctport.StoreRevision{Era: 1, Number: 9}},
 		heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/io/kctfeed/message.go
+++ b/io/kctfeed/message.go
@@ -49,7 +49,7 @@
 func decodeContact(m *kctproto.FeedUpdate, sender kctport.InstanceID, delay time.Duration) kctport.StoreContact {
 	c := kctport.StoreContact{
 		Watcher: kctport.InstanceID(m.GetWatcher()), Hops: int(m.GetHops()), Age: time.Duration(m.GetAge()) + delay,
-		Silence: time.Duration(m.GetSilence()) + delay, Steady: time.Duration(m.GetSteady()), Revision: kctport.StoreRevision(m.GetRevision()),
+		Silence: time.Duration(m.GetSilence()) + delay, Steady: time.Duration(m.GetSteady()), Revision: kctport.StoreRevision{Era: m.GetEra(), Number: m.GetRevision()},
 	}
 	if m.GetSilence() == 0 {
 		c.Silence = c.Age
@@ -71,7 +71,7 @@
 				return f, eris.Wrapf(kctport.ErrInvalid, "value of %s: %v", r.GetKey(), err)
 			}
 		}
-		f.Changes = append(f.Changes, decode(r.GetKey(), value, kctport.StoreRevision(r.GetRevision()), r.GetDeleted()))
+		f.Changes = append(f.Changes, decode(r.GetKey(), value, kctport.StoreRevision{Era: r.GetEra(), Number: r.GetRevision()}, r.GetDeleted()))
 	}
 	for _, member := range m.GetMembers() {
 		e, err := decodeEntry(member.GetEntry())
--- a/registry.go
+++ b/registry.go
@@ -1,7 +1,9 @@
 package kctport
 
 import (
+	"fmt"
 	"net/netip"
+	"strconv"
 	"time"
 )
 
@@ -22,8 +24,38 @@
 	Started time.Time
 }
 
-// StoreRevision numbers the changes in the platform's store.
-type StoreRevision uint64
+// StoreRevision numbers the changes in the platform's store. A store that comes back from an older copy begins a new era: it gives out the numbers
+// after those of the copy again, so that a number alone is neither an identity nor an order.
+type StoreRevision struct {
+	Era    uint64
+	Number uint64
+}
+
+// Before reports whether the revision is older than another one.
+func (r StoreRevision) Before(other StoreRevision) bool {
+	return r.Era < other.Era || r.Era == other.Era && r.Number < other.Number
+}
+
+// IsZero reports whether there is no revision.
+func (r StoreRevision) IsZero() bool {
+	return r == StoreRevision{}
+}
+
+// String returns the number, with the era before it if there is one.
+func (r StoreRevision) String() string {
+	if r.Era == 0 {
+		return strconv.FormatUint(r.Number, 10)
+	}
+	return fmt.Sprintf("%d/%d", r.Era, r.Number)
+}
+
+// LatestRevision returns the newer of two revisions.
+func LatestRevision(a, b StoreRevision) StoreRevision {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
 
 // RecordKind is the kind of a record in the platform's store.
 type RecordKind int
