Keep endpoints that left from coming back with an older copy of the store

Cause: a record of a later era is newer, also when it only comes from the copy.

An endpoint that has said that it leaves does not take that back within one incarnation, so that a record of the copy that says otherwise is ignored. A record that was removed and is in the copy is used again only when it is still there after four heartbeats, since that of an endpoint that is gone expires by then, or when the endpoint writes it again; not at all when the endpoint had said that it leaves. Tombstones know the incarnation for that.

--- a/core/kctfleet/contact.go
+++ b/core/kctfleet/contact.go
@@ -20,6 +20,8 @@
 	// lapseHeartbeats is the least number of heartbeats that a live endpoint must miss before its record expires: records expire after three
 	// heartbeats of silence, and the last write can be one heartbeat old when an outage begins.
 	lapseHeartbeats = 2
+	// expiryHeartbeats is the number of heartbeats after which the record of an endpoint that is gone has surely expired, and its removal is known.
+	expiryHeartbeats = 4
 )
 
 // observation is what an entry that watches the store has seen of it. Passed on over a feed its times stay, so that it only grows older.
@@ -56,9 +58,9 @@
 type storeContact struct {
 	self   kctport.InstanceID
 	maxAge time.Duration
-	// lapseTime is the shortest outage of the store in which the record of a live endpoint can expire.
-	lapseTime time.Duration
-	own       ownCalls
+	// heartbeat is how often endpoints write their records, and lapseTime the shortest outage of the store in which the record of a live endpoint can expire.
+	heartbeat, lapseTime time.Duration
+	own                  ownCalls
 	// feeds holds the last observation of each feed that this entry follows.
 	feeds map[*link]observation
 	// complete is the time up to which all changes have been applied, and revision the store's revision then, zero while it is not known.
@@ -74,8 +76,8 @@
 	steadySince, interruptedAt, reconnectedAt time.Time
 }
 
-func newStoreContact(self kctport.InstanceID, maxAge, lapseTime time.Duration, now time.Time) storeContact {
-	return storeContact{self: self, maxAge: maxAge, lapseTime: lapseTime, feeds: map[*link]observation{}, lostSince: now, cause: "no source yet"}
+func newStoreContact(self kctport.InstanceID, maxAge, heartbeat time.Duration, now time.Time) storeContact {
+	return storeContact{self: self, maxAge: maxAge, heartbeat: heartbeat, lapseTime: lapseHeartbeats * heartbeat, feeds: map[*link]observation{}, lostSince: now, cause: "no source yet"}
 }
 
 // best returns the observation with the fewest hops that shows contact with the store.
--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -168,7 +168,7 @@
 
 // control applies updates one at a time and publishes the fleet state after each that changed something.
 func (c *Controller) control(ctx context.Context) {
-	s := newState(c.self, newStoreContact(c.self.ID, c.maxAge, lapseHeartbeats*c.heartbeat, c.timer.Now()))
+	s := newState(c.self, newStoreContact(c.self.ID, c.maxAge, c.heartbeat, c.timer.Now()))
 	s.assumeShares(c.zones*minActive, c.timer.Now())
 	ticks := c.timer.Subscribe(ctx, tickInterval)
 	for {
--- a/core/kctfleet/fleet.go
+++ b/core/kctfleet/fleet.go
@@ -21,7 +21,7 @@
 	outOfService := s.zonesOutOfService()
 	f.Moves = s.moveShares(now)
 	for _, r := range s.records {
-		if r.Endpoint == nil || r.Endpoint.Leaving || outOfService[r.Endpoint.Zone] {
+		if r.Endpoint == nil || r.Endpoint.Leaving || outOfService[r.Endpoint.Zone] || now.Before(r.doubtfulUntil) {
 			continue
 		}
 		f.Endpoints[r.Endpoint.Service] = append(f.Endpoints[r.Endpoint.Service], r.endpoint())
--- a/core/kctfleet/record.go
+++ b/core/kctfleet/record.go
@@ -22,6 +22,8 @@
 	// missingSince is when the key was reported deleted during an outage, and removal the revision of that; zero while it is present.
 	missingSince time.Time
 	removal      kctport.StoreRevision
+	// doubtfulUntil is the time until which the record isn't used, since it may only have been brought back by an older copy of the store.
+	doubtfulUntil time.Time
 }
 
 // isNewer reports whether the record, or its removal, is newer than a change; a record that is missing may come back unchanged.
@@ -29,11 +31,34 @@
 	return c.Revision.Before(r.Revision) || c.Revision == r.Revision && r.missingSince.IsZero() || !r.removal.Before(c.Revision)
 }
 
+// keeps reports whether a record of a later era only shows that the copy from which the store has come back is older than what is known.
+func (r *record) keeps(c kctport.RegistryChange) bool {
+	if c.Revision.Era <= r.Revision.Era || !r.missingSince.IsZero() {
+		return false
+	}
+	// An endpoint that has said that it leaves never takes that back; it may start again.
+	left := r.Endpoint != nil && r.Endpoint.Leaving && c.Endpoint != nil && isIncarnation(c.Endpoint, r.Endpoint.Started)
+	return left || bytes.Equal(c.Value, r.Value)
+}
+
+// isIncarnation reports whether an endpoint's record is of the incarnation that started at a time; records without a start can't be told apart.
+func isIncarnation(e *kctport.EndpointRecord, started time.Time) bool {
+	return !started.IsZero() && e.Started.Equal(started)
+}
+
 // tombstone is a record that was removed.
 type tombstone struct {
 	// removal is the revision of the removal, or that of the complete reading which lacked the record.
 	removal kctport.StoreRevision
 	at      time.Time
+	// started is the incarnation of an endpoint, and left is set when it had said that it leaves.
+	started time.Time
+	left    bool
+}
+
+// isReturn reports whether a record of a later era may be the one that was removed, from the copy from which the store has come back.
+func (t tombstone) isReturn(c kctport.RegistryChange) bool {
+	return c.Revision.Era > t.removal.Era && c.Revision.Number <= t.removal.Number && c.Endpoint != nil && isIncarnation(c.Endpoint, t.started)
 }
 
 // applyFull replaces all records by a complete reading as of a revision, zero for an unknown one; older records missing from it are deleted.
@@ -74,13 +99,17 @@
 	if old != nil && old.isNewer(c) || old == nil && s.isRemoved(c) {
 		return nil
 	}
-	if old != nil && old.missingSince.IsZero() && c.Revision.Era != old.Revision.Era && bytes.Equal(c.Value, old.Value) {
-		// A copy of the store still has what is known.
+	if old != nil && old.keeps(c) {
 		old.Revision = c.Revision
 		return nil
 	}
-	delete(s.tombstones, c.Key)
 	r := &record{RegistryChange: c, readAt: now}
+	if t, ok := s.tombstones[c.Key]; ok && t.isReturn(c) {
+		// If the endpoint is gone, its record expires again.
+		r.doubtfulUntil = now.Add(expiryHeartbeats * s.contact.heartbeat)
+		s.doubtful[c.Key] = r
+	}
+	delete(s.tombstones, c.Key)
 	s.records[c.Key] = r
 	delete(s.lapsed, c.Key)
 	if c.Kind == kctport.RecordMove || c.Kind == kctport.RecordProgress {
@@ -90,10 +119,10 @@
 	return []event{changeEvent(old, c)}
 }
 
-// isRemoved reports whether the record was removed after the change.
+// isRemoved reports whether the record was removed after the change, or for good.
 func (s *state) isRemoved(c kctport.RegistryChange) bool {
 	t, ok := s.tombstones[c.Key]
-	return ok && !t.removal.Before(c.Revision)
+	return ok && (!t.removal.Before(c.Revision) || t.left && t.isReturn(c))
 }
 
 // adoptRules puts rules in force if their version is newer than the one in force.
@@ -138,6 +167,9 @@
 
 // drop removes a record for good.
 func (s *state) drop(now time.Time, key string, removal kctport.StoreRevision) {
+	if r := s.records[key]; r != nil && r.Endpoint != nil {
+		s.tombstones[key] = tombstone{started: r.Endpoint.Started, left: r.Endpoint.Leaving}
+	}
 	delete(s.records, key)
 	delete(s.moveRecords, key)
 	delete(s.lapsed, key)
@@ -146,10 +178,13 @@
 
 // addTombstone records the revision of a removal.
 func (s *state) addTombstone(now time.Time, key string, removal kctport.StoreRevision) {
-	s.tombstones[key] = tombstone{removal: kctport.LatestRevision(removal, s.tombstones[key].removal), at: now}
+	t := s.tombstones[key]
+	t.removal, t.at = kctport.LatestRevision(removal, t.removal), now
+	s.tombstones[key] = t
 }
 
-// expireRecords removes lapsed records that were not registered again after an outage, and tombstones whose retention has ended.
+// expireRecords removes lapsed records that were not registered again after an outage, and tombstones whose retention has ended, and ends the doubt about
+// records that have not expired.
 func (s *state) expireRecords(now time.Time) []event {
 	var events []event
 	for key, r := range s.lapsed {
@@ -159,6 +194,15 @@
 			events = append(events, event{message: "record gone", key: key, detail: "not registered again after the outage of the store"})
 		}
 	}
+	for key, r := range s.doubtful {
+		switch {
+		case s.records[key] != r:
+			delete(s.doubtful, key)
+		case !now.Before(r.doubtfulUntil):
+			delete(s.doubtful, key)
+			events = append(events, event{message: "record still there", key: key, detail: "it was removed before the store came back from an older copy"})
+		}
+	}
 	if now.Sub(s.tombstonesChecked) > tombstoneRetention/2 {
 		s.tombstonesChecked = now
 		for key, t := range s.tombstones {
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -19,6 +19,8 @@
 	moveRecords map[string]*record
 	// lapsed are the records that disappeared during an outage of the store and may be registered again.
 	lapsed map[string]*record
+	// doubtful are the records that may only have been brought back by an older copy of the store.
+	doubtful map[string]*record
 	// tombstones keep an entry that follows behind, or that keeps a lapsed record, from restoring a removed one.
 	tombstones        map[string]tombstone
 	tombstonesChecked time.Time
@@ -44,6 +46,7 @@
 func newState(self kctport.EntryRecord, contact storeContact) *state {
 	return &state{
 		self: self, contact: contact, records: map[string]*record{}, moveRecords: map[string]*record{}, lapsed: map[string]*record{},
+		doubtful:   map[string]*record{},
 		tombstones: map[string]tombstone{}, lastPresent: map[kctport.InstanceID]time.Time{},
 		members: newMembers(self.ID), active: newActiveSet(), mover: newMover(self.ID),
 	}
--- a/core/kctfleet/state_test.go
+++ b/core/kctfleet/state_test.go
@@ -30,7 +30,7 @@
 
 // newTestState returns the state of an entry that watches the store from the start.
 func newTestState(self kctport.EntryRecord) *state {
-	s := newState(self, newStoreContact(self.ID, 3*time.Second, lapseHeartbeats*defaultHeartbeat, start))
+	s := newState(self, newStoreContact(self.ID, 3*time.Second, defaultHeartbeat, start))
 	s.contact.setWatching(true)
 	watched(s, start)
 	return s
@@ -113,7 +113,7 @@
 		"reader that does not say":                {0, 0, 2},
 		"first one that lost it, then another":    {time.Second, found, 1},
 	} {
-		s := newState(kctport.EntryRecord{ID: "e"}, newStoreContact("e", 3*time.Second, lapseHeartbeats*defaultHeartbeat, start))
+		s := newState(kctport.EntryRecord{ID: "e"}, newStoreContact("e", 3*time.Second, defaultHeartbeat, start))
 		at := start.Add(lost)
 		first := testLink("r1")
 		s.applyFeedUpdate(at, first, kctport.FeedUpdate{
@@ -193,7 +193,7 @@
 
 // TestUnnoticedInterruption guards against a reader that was stopped during an outage of the store and reports uninterrupted contact.
 func TestUnnoticedInterruption(t *testing.T) {
-	s := newState(kctport.EntryRecord{ID: "e"}, newStoreContact("e", 3*time.Second, lapseHeartbeats*defaultHeartbeat, start))
+	s := newState(kctport.EntryRecord{ID: "e"}, newStoreContact("e", 3*time.Second, defaultHeartbeat, start))
 	reader := testLink("r")
 	s.applyFeedUpdate(start, reader, kctport.FeedUpdate{Store: kctport.StoreContact{Watcher: "r"}})
 	for _, c := range []struct{ after, steady time.Duration }{{2 * time.Second, 2 * time.Second}, {8 * time.Second, 0}, {9 * time.Second, time.Second}} {
