Keep what an older copy of the store lacks until its writers have written it again

What callers would see: after the store has come back from an older copy, endpoints that had registered since are dropped, and endpoints of a zone that had been taken out since get requests, until both are written again.

Cause: records that disappear are kept for a short time only after an outage of two heartbeats or more, and only those of endpoints. A store that comes back from a copy lacks them after any outage, and lacks the operator's records too.

A new era begins such a time, 2.2 s, for endpoints, zones that are out of service and moves. Records of readers follow the store, since the readers notice themselves that their leases have ended.

TestRecordThatTheCopyLacks fails before, in all six rows ("nobody writes them again: 0 endpoints and 0 later, want 1 and 0").

--- a/core/kctfleet/contact.go
+++ b/core/kctfleet/contact.go
@@ -13,7 +13,8 @@
 	maxHops = 2
 	// ageReserve is the part of the greatest age of the state that is kept for the way of an observation over feeds.
 	ageReserve = 100 * time.Millisecond
-	// lapseGrace keeps records that disappeared during an outage of the store: live endpoints register again within about 2 s of its return.
+	// lapseGrace keeps records that disappeared during an outage of the store, or that it lacks when it comes back from an older copy: live endpoints
+	// register again within about 2 s of its return.
 	lapseGrace = 2200 * time.Millisecond
 	// defaultHeartbeat is how often endpoints write their records.
 	defaultHeartbeat = 1200 * time.Millisecond
@@ -74,6 +75,8 @@
 	// steadySince is the start of the contact without interruption. Between interruptedAt and reconnectedAt nobody is known to have reached the
 	// store for so long that records may have expired; reconnectedAt is zero when there is no such time.
 	steadySince, interruptedAt, reconnectedAt time.Time
+	// restoredAt is when the store was first found to have come back from an older copy.
+	restoredAt time.Time
 }
 
 func newStoreContact(self kctport.InstanceID, maxAge, heartbeat time.Duration, now time.Time) storeContact {
@@ -129,6 +132,14 @@
 func (c *storeContact) ownChanges(now time.Time, revision kctport.StoreRevision) {
 	c.ownReply(now)
 	c.own.complete, c.complete = now, now
+	c.advance(now, revision)
+}
+
+// advance records a revision that the store has reached.
+func (c *storeContact) advance(now time.Time, revision kctport.StoreRevision) {
+	if !c.revision.IsZero() && revision.Era > c.revision.Era {
+		c.restoredAt = now
+	}
 	c.revision = kctport.LatestRevision(c.revision, revision)
 }
 
@@ -172,10 +183,10 @@
 	for _, o := range c.feeds {
 		if c.isContact(o, now) {
 			best.steadySince = earliest(best.steadySince, o.steadySince)
-			c.record(o)
+			c.record(now, o)
 		}
 	}
-	c.record(best)
+	c.record(now, best)
 	if !c.reconnectedAt.IsZero() {
 		c.resolveInterruption(best.steadySince)
 	}
@@ -183,8 +194,9 @@
 }
 
 // record records up to when the store is known to have answered and the state to be complete.
-func (c *storeContact) record(o observation) {
-	c.complete, c.heard, c.revision = latest(c.complete, o.complete), latest(c.heard, o.reply), kctport.LatestRevision(c.revision, o.revision)
+func (c *storeContact) record(now time.Time, o observation) {
+	c.complete, c.heard = latest(c.complete, o.complete), latest(c.heard, o.reply)
+	c.advance(now, o.revision)
 }
 
 // lose records the loss of contact.
@@ -235,9 +247,14 @@
 	c.reconnectedAt = time.Time{}
 }
 
-// inLapseGrace reports whether a deletion may come from an outage of the store, which lets leases expire.
+// inLapseGrace reports whether a deletion may come from an outage of the store, which lets leases expire, or from its return.
 func (c *storeContact) inLapseGrace(now time.Time) bool {
-	return !c.inContact() || !c.reconnectedAt.IsZero() && now.Before(c.reconnectedAt.Add(lapseGrace))
+	return !c.inContact() || !c.reconnectedAt.IsZero() && now.Before(c.reconnectedAt.Add(lapseGrace)) || c.inRestoreGrace(now)
+}
+
+// inRestoreGrace reports whether a record may be missing because the store has just come back from an older copy; its writer writes it again.
+func (c *storeContact) inRestoreGrace(now time.Time) bool {
+	return !c.restoredAt.IsZero() && now.Before(c.restoredAt.Add(lapseGrace))
 }
 
 // report returns what this entry's feed says of the store.
--- a/core/kctfleet/fleet.go
+++ b/core/kctfleet/fleet.go
@@ -11,13 +11,18 @@
 // fleet builds the fleet state for traffic.
 func (s *state) fleet(now time.Time) *kctport.Fleet {
 	f := &kctport.Fleet{
-		Rules: s.rules, Endpoints: map[kctport.ServiceName][]*kctport.FleetEndpoint{}, LastContact: s.contact.complete, Draining: s.draining, Lapsed: len(s.lapsed),
+		Rules: s.rules, Endpoints: map[kctport.ServiceName][]*kctport.FleetEndpoint{}, LastContact: s.contact.complete, Draining: s.draining,
 	}
 	best, _ := s.contact.best(now)
 	f.Watcher, f.WatcherHops = best.watcher, best.hops
 	if s.table != nil {
 		f.Table = s.table
 	}
+	for _, r := range s.lapsed {
+		if r.Endpoint != nil {
+			f.Lapsed++
+		}
+	}
 	outOfService := s.zonesOutOfService()
 	f.Moves = s.moveShares(now)
 	for _, r := range s.records {
--- a/core/kctfleet/record.go
+++ b/core/kctfleet/record.go
@@ -150,7 +150,7 @@
 	if c.Revision.Before(old.Revision) {
 		return nil
 	}
-	if c.Kind == kctport.RecordEndpoint && s.contact.inLapseGrace(now) {
+	if s.mayReturn(now, c.Kind) {
 		old.removal = kctport.LatestRevision(old.removal, c.Revision)
 		if !old.missingSince.IsZero() {
 			return nil
@@ -158,13 +158,32 @@
 		old.missingSince = now
 		s.lapsed[c.Key] = old
 		s.outbox = append(s.outbox, c)
-		return []event{{message: "record lapsed during an outage of the store", key: c.Key}}
+		return []event{{message: lapseMessage(s.contact.inRestoreGrace(now)), key: c.Key}}
 	}
 	s.outbox = append(s.outbox, c)
 	s.drop(now, c.Key, c.Revision)
 	return []event{{message: "record gone", key: c.Key}}
 }
 
+// mayReturn reports whether a record that is missing now may be written again soon: endpoints do so after an outage, and each writer of records that
+// take effect after the store has come back from an older copy. The tier's own records, those of readers, follow the store.
+func (s *state) mayReturn(now time.Time, kind kctport.RecordKind) bool {
+	switch kind {
+	case kctport.RecordEndpoint:
+		return s.contact.inLapseGrace(now)
+	case kctport.RecordZoneOut, kctport.RecordMove, kctport.RecordProgress:
+		return s.contact.inRestoreGrace(now)
+	}
+	return false
+}
+
+func lapseMessage(isRestored bool) string {
+	if isRestored {
+		return "record missing in the older copy from which the store came back"
+	}
+	return "record lapsed during an outage of the store"
+}
+
 // drop removes a record for good.
 func (s *state) drop(now time.Time, key string, removal kctport.StoreRevision) {
 	if r := s.records[key]; r != nil && r.Endpoint != nil {
@@ -191,7 +210,7 @@
 		if !s.contact.inLapseGrace(now) {
 			s.drop(now, key, kctport.LatestRevision(r.Revision, r.removal))
 			s.outbox = append(s.outbox, kctport.RegistryChange{Kind: r.Kind, Key: key, Revision: kctport.LatestRevision(r.Revision, r.removal), Deleted: true})
-			events = append(events, event{message: "record gone", key: key, detail: "not registered again after the outage of the store"})
+			events = append(events, event{message: "record gone", key: key, detail: "not written again after the return of the store"})
 		}
 	}
 	for key, r := range s.doubtful {
--- a/core/kctfleet/restore_test.go
+++ b/core/kctfleet/restore_test.go
@@ -69,3 +69,37 @@
 func reviveDelay(s *state) time.Duration {
 	return expiryHeartbeats * s.contact.heartbeat
 }
+
+// TestRecordThatTheCopyLacks guards against live endpoints that are dropped, and zones that get requests although they were taken out, because the copy from
+// which the store has come back is from before; and against both lasting when nobody writes them again.
+func TestRecordThatTheCopyLacks(t *testing.T) {
+	endpoint := incarnation("i", revision(50), started, false)
+	other := endpointChange("other", 55)
+	other.Endpoint.Zone = "b"
+	out := kctport.RegistryChange{Kind: kctport.RecordZoneOut, Key: "out/b", Zone: "b", Revision: revision(58)}
+	outAgain := out
+	outAgain.Revision = laterEra(42)
+	for name, c := range map[string]struct {
+		after      []kctport.RegistryChange
+		soon, late int
+	}{
+		"nobody writes them again":    {nil, 1, 0},
+		"the endpoint writes again":   {[]kctport.RegistryChange{incarnation("i", laterEra(41), started, false)}, 1, 1},
+		"the operator writes again":   {[]kctport.RegistryChange{outAgain}, 1, 0},
+		"the other endpoint writes":   {[]kctport.RegistryChange{{Kind: other.Kind, Key: other.Key, Revision: laterEra(41), Endpoint: other.Endpoint}}, 1, 1},
+		"the other one and operator":  {[]kctport.RegistryChange{{Kind: other.Kind, Key: other.Key, Revision: laterEra(41), Endpoint: other.Endpoint}, outAgain}, 1, 0},
+		"both endpoints and operator": {[]kctport.RegistryChange{incarnation("i", laterEra(43), started, false), {Kind: other.Kind, Key: other.Key, Revision: laterEra(41), Endpoint: other.Endpoint}, outAgain}, 1, 1},
+	} {
+		s := restored([]kctport.RegistryChange{endpoint, other, out}, nil)
+		soon := usableEndpoints(s, start)
+		for _, change := range c.after {
+			s.apply(start, change)
+		}
+		late := start.Add(lapseGrace + time.Millisecond)
+		watched(s, late)
+		s.expire(late)
+		if n := usableEndpoints(s, late); soon != c.soon || n != c.late {
+			t.Errorf("%s: %d endpoints and %d later, want %d and %d", name, soon, n, c.soon, c.late)
+		}
+	}
+}
