Go on with moves whose progress an older copy of the store lacks

What operators would see: after the store has come back from an older copy, a move goes back to a former share, starts again, or its end is never shown; operators stop the old endpoints when they see that it succeeded.

Cause: the progress of moves is the tier's own record, which nobody else writes again, and the copy's was taken for the newest. A request that the operator writes again gets another revision, which made it another move.

The later progress is kept and written again, over the copy's or where there is none, and counts for the request as it is written again.

TestMoveAfterRestore fails before in all four rows ("the copy has older progress: share 0.1 and writes [], want 0.5 and one").

--- a/core/kctfleet/move.go
+++ b/core/kctfleet/move.go
@@ -48,8 +48,28 @@
 	kctport.MoveRequest
 	id       string
 	progress *kctport.MoveProgress
-	// revision is that of the service's progress record, zero without one.
+	// revision is that of the service's progress record, zero without one, and unsaved is set when the store doesn't have the progress.
 	revision kctport.StoreRevision
+	unsaved  bool
+}
+
+// moveID identifies a move by the record of its request: the same request made again is another move.
+func moveID(request kctport.RegistryChange) string {
+	return fmt.Sprintf("%s@%d", request.Move.To, request.Revision.Number)
+}
+
+// continueMove lets the progress of a move count for its request as the operator has written it again, after the store came back from an older copy.
+func (s *state) continueMove(now time.Time, old *record, c kctport.RegistryChange) {
+	if old == nil || old.Move == nil || c.Move == nil || *old.Move != *c.Move || !s.contact.inRestoreGrace(now) {
+		return
+	}
+	for _, r := range s.moveRecords {
+		if r.Progress != nil && r.Progress.ID == moveID(old.RegistryChange) {
+			progress := *r.Progress
+			progress.ID = moveID(c)
+			r.Progress, r.unsaved = &progress, true
+		}
+	}
 }
 
 // requestedMoves returns the operators' move requests by service.
@@ -57,7 +77,7 @@
 	byService := map[kctport.ServiceName]requestedMove{}
 	for _, r := range s.moveRecords {
 		if r.Move != nil {
-			byService[r.Move.Service] = requestedMove{MoveRequest: *r.Move, id: fmt.Sprintf("%s@%d", r.Move.To, r.Revision.Number)}
+			byService[r.Move.Service] = requestedMove{MoveRequest: *r.Move, id: moveID(r.RegistryChange)}
 		}
 	}
 	for _, r := range s.moveRecords {
@@ -68,9 +88,11 @@
 		if !ok {
 			continue
 		}
-		o.revision = r.Revision
+		if r.missingSince.IsZero() {
+			o.revision = r.Revision
+		}
 		if r.Progress.ID == o.id {
-			o.progress = r.Progress
+			o.progress, o.unsaved = r.Progress, r.unsaved
 		}
 		byService[r.Progress.Service] = o
 	}
@@ -136,6 +158,9 @@
 	if p == nil {
 		return s.newProgress(now, o), holder
 	}
+	if o.unsaved && holder {
+		return *p, true
+	}
 	if p.State == kctport.MoveDone && !p.Announced {
 		if s.mover.doneSince[p.ID].IsZero() {
 			s.mover.doneSince[p.ID] = now
--- a/core/kctfleet/record.go
+++ b/core/kctfleet/record.go
@@ -24,6 +24,8 @@
 	removal      kctport.StoreRevision
 	// doubtfulUntil is the time until which the record isn't used, since it may only have been brought back by an older copy of the store.
 	doubtfulUntil time.Time
+	// unsaved is set for the progress of a move that the store lacks since it came back from an older copy.
+	unsaved bool
 }
 
 // isNewer reports whether the record, or its removal, is newer than a change; a record that is missing may come back unchanged.
@@ -38,7 +40,12 @@
 	}
 	// An endpoint that has said that it leaves never takes that back; it may start again.
 	left := r.Endpoint != nil && r.Endpoint.Leaving && c.Endpoint != nil && isIncarnation(c.Endpoint, r.Endpoint.Started)
-	return left || bytes.Equal(c.Value, r.Value)
+	return left || r.isLaterProgress(c) || bytes.Equal(c.Value, r.Value)
+}
+
+// isLaterProgress reports whether the record is the progress of a move, and that of the copy is older.
+func (r *record) isLaterProgress(c kctport.RegistryChange) bool {
+	return r.Progress != nil && c.Progress != nil && r.Progress.ID == c.Progress.ID && c.Revision.Number < r.Revision.Number
 }
 
 // isIncarnation reports whether an endpoint's record is of the incarnation that started at a time; records without a start can't be told apart.
@@ -100,9 +107,11 @@
 		return nil
 	}
 	if old != nil && old.keeps(c) {
+		old.unsaved = old.unsaved || old.isLaterProgress(c)
 		old.Revision = c.Revision
 		return nil
 	}
+	s.continueMove(now, old, c)
 	r := &record{RegistryChange: c, readAt: now}
 	if t, ok := s.tombstones[c.Key]; ok && t.isReturn(c) {
 		// If the endpoint is gone, its record expires again.
@@ -156,6 +165,7 @@
 			return nil
 		}
 		old.missingSince = now
+		old.unsaved = old.Progress != nil
 		s.lapsed[c.Key] = old
 		s.outbox = append(s.outbox, c)
 		return []event{{message: lapseMessage(s.contact.inRestoreGrace(now)), key: c.Key}}
--- a/core/kctfleet/restore_test.go
+++ b/core/kctfleet/restore_test.go
@@ -103,3 +103,57 @@
 		}
 	}
 }
+
+// TestMoveAfterRestore guards against a move that starts again, goes back to a former share, or whose status the operator never sees, because the copy from
+// which the store has come back is older than its progress.
+func TestMoveAfterRestore(t *testing.T) {
+	request := kctport.RegistryChange{Kind: kctport.RecordMove, Key: "moves/s", Revision: revision(50), Value: []byte("request"), Move: &kctport.MoveRequest{Service: "s", To: "v2", Duration: time.Minute}}
+	requestAt := func(r kctport.StoreRevision) kctport.RegistryChange {
+		c := request
+		c.Revision = r
+		return c
+	}
+	progressAt := func(r kctport.StoreRevision, share float64, state kctport.MoveState) kctport.RegistryChange {
+		p := &kctport.MoveProgress{
+			Announced: state == kctport.MoveDone,
+			Move:      kctport.Move{ID: "v2@50", Service: "s", From: "v1", To: "v2", Started: start, Deadline: start.Add(time.Minute), State: state, Share: share},
+		}
+		return kctport.RegistryChange{Kind: kctport.RecordProgress, Key: "progress/s", Revision: r, Progress: p, Value: []byte{byte(share * 100)}}
+	}
+	reader := kctport.RegistryChange{Kind: kctport.RecordReader, Key: "readers/a", Revision: laterEra(39), Reader: &kctport.EntryRecord{ID: "e", Zone: "a"}}
+	running, done := progressAt(revision(58), 0.5, kctport.MoveRunning), progressAt(revision(58), 1, kctport.MoveDone)
+	for name, c := range map[string]struct {
+		progress       kctport.RegistryChange
+		reading, after []kctport.RegistryChange
+		// share is that of the new version, id the move's identifier as written, and expected the revision of the progress record over which it is written.
+		share    float64
+		id       string
+		expected kctport.StoreRevision
+	}{
+		"the copy lacks its progress":          {running, []kctport.RegistryChange{requestAt(laterEra(50))}, nil, 0.5, "v2@50", kctport.StoreRevision{}},
+		"the copy has older progress":          {running, []kctport.RegistryChange{requestAt(laterEra(50)), progressAt(laterEra(52), 0.1, kctport.MoveRunning)}, nil, 0.5, "v2@50", laterEra(52)},
+		"the copy lacks it, it is asked again": {running, nil, []kctport.RegistryChange{requestAt(laterEra(41))}, 0.5, "v2@41", kctport.StoreRevision{}},
+		"the copy lacks its end":               {done, []kctport.RegistryChange{requestAt(laterEra(50)), progressAt(laterEra(52), 0.5, kctport.MoveRunning)}, nil, 1, "v2@50", laterEra(52)},
+	} {
+		s := restored([]kctport.RegistryChange{request, c.progress}, append([]kctport.RegistryChange{reader}, c.reading...))
+		for _, change := range c.after {
+			s.apply(start, change)
+		}
+		share := s.moveShares(start)["s"].Share
+		writes := s.decideMoves(start)
+		if share != c.share || len(writes) != 1 {
+			t.Errorf("%s: share %v and writes %+v, want %v and one", name, share, writes, c.share)
+			continue
+		}
+		if w := writes[0]; w.progress.ID != c.id || w.progress.Share != c.share || w.progress.State != c.progress.Progress.State || !w.progress.Started.Equal(start) || w.expected != c.expected {
+			t.Errorf("%s: %+v is written, want share %v of %s over revision %v", name, w, c.share, c.id, c.expected)
+		}
+		written := progressAt(laterEra(70), c.share, c.progress.Progress.State)
+		written.Progress.ID = c.id
+		s.apply(start, written)
+		clear(s.mover.saving)
+		if writes := s.decideMoves(start); len(writes) != 0 {
+			t.Errorf("%s: written again after that: %+v", name, writes)
+		}
+	}
+}
