--- a/core/kctfleet/sim_test.go
+++ b/core/kctfleet/sim_test.go
@@ -43,6 +43,51 @@
 	// loadTime is how long a complete reading takes.
 	loadTime time.Duration
 	calls    []time.Time
+	// copies are older states, the oldest first.
+	copies []simCopy
+}
+
+// simCopy is a state of the store at one moment.
+type simCopy struct {
+	revision kctport.StoreRevision
+	records  map[string]kctport.RegistryChange
+	leases   map[kctport.Lease]simLease
+}
+
+// keepCopy keeps the current state for restore.
+func (s *simStore) keepCopy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leases := map[kctport.Lease]simLease{}
+	for id, l := range s.leases {
+		leases[id] = simLease{l.ttl, l.expires, slices.Clone(l.keys)}
+	}
+	s.copies = append(s.copies, simCopy{s.revision, maps.Clone(s.records), leases})
+	s.copies = s.copies[max(0, len(s.copies)-maxCopies):]
+}
+
+// maxCopies is the number of copies that are kept.
+const maxCopies = 10
+
+// restore goes back to the oldest copy and begins a new era; the leases of the copy run anew.
+func (s *simStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.copies) == 0 {
+		return
+	}
+	from := s.copies[0]
+	s.copies, s.history, s.records = nil, nil, from.records
+	s.revision = kctport.StoreRevision{Era: s.revision.Era + 1, Number: from.revision.Number}
+	clear(s.leases)
+	for id, l := range from.leases {
+		l.expires = time.Now().Add(l.ttl)
+		s.leases[id] = &l
+	}
+	for key, c := range s.records {
+		c.Revision.Era = s.revision.Era
+		s.records[key] = c
+	}
 }
 
 type simLease struct {
@@ -187,6 +232,10 @@
 	for {
 		l.simStore.mu.Lock()
 		changed, revision := l.changed, l.revision
+		if after.Era != revision.Era || revision.Before(after) || len(l.history) > 0 && after.Number+1 < l.history[0].Revision.Number {
+			l.simStore.mu.Unlock()
+			return nil, after, kctport.ErrCompacted
+		}
 		var changes []kctport.RegistryChange
 		for _, c := range l.history {
 			if after.Before(c.Revision) {
@@ -287,7 +336,7 @@
 		other.keys = slices.DeleteFunc(other.keys, func(k string) bool { return k == key })
 	}
 	lease.keys = append(lease.keys, key)
-	l.write(kctport.RegistryChange{Kind: kctport.RecordReader, Key: key, Zone: e.Zone, Reader: &e})
+	l.write(kctport.RegistryChange{Kind: kctport.RecordReader, Key: key, Zone: e.Zone, Reader: &e, Value: []byte(e.ID)})
 	return nil
 }
 
@@ -460,6 +509,12 @@
 	f.versions = append(f.versions, time.Now())
 }
 
+// restoreStore lets the store come back from an older copy; the operator writes again what that lacks.
+func (f *simFleet) restoreStore() {
+	f.store.restore()
+	f.store.put(kctport.RegistryChange{Kind: kctport.RecordRules, Key: "rules", Rules: &kctport.Rules{Version: kctport.RulesVersion(len(f.versions))}})
+}
+
 func (f *simFleet) end() {
 	f.stop()
 	for _, e := range f.entries {
--- a/core/kctfleet/source_test.go
+++ b/core/kctfleet/source_test.go
@@ -63,8 +63,8 @@
 }
 
 // TestContactAfterFaults guards against entries that miss changes after faults which are none of their own, because those that they follow don't watch
-// the store: random series of outages that leases survive or not, entries without the store, without any connection, killed and started again, with
-// changes of the rules all the while.
+// the store: random series of outages that leases survive or not, returns of the store from an older copy, entries without the store, without any
+// connection, killed and started again, with changes of the rules all the while.
 //
 // More seeds: go test ./core/kctfleet -run TestContactAfterFaults -faults.seeds 400
 func TestContactAfterFaults(t *testing.T) {
@@ -88,7 +88,7 @@
 	var undos []undo
 	later := func(d time.Duration, do func()) { undos = append(undos, undo{time.Now().Add(d), do}) }
 	upTo := func(d time.Duration) time.Duration { return time.Duration(f.random.Int64N(int64(d))) }
-	isolatedAt := time.Now()
+	isolatedAt, copiedAt := time.Now(), time.Now()
 	for time.Since(began) < length && f.violations == 0 {
 		f.step()
 		for i := 0; i < len(undos); i++ {
@@ -98,6 +98,10 @@
 				i--
 			}
 		}
+		if time.Since(copiedAt) > time.Second {
+			copiedAt = time.Now()
+			f.store.keepCopy()
+		}
 		e := f.entries[f.random.IntN(len(f.entries))]
 		switch f.random.IntN(60) {
 		case 0, 1, 2:
@@ -119,6 +123,16 @@
 			later(upTo(6*time.Second), func() { f.isolate(e, false) })
 		case 7, 8:
 			f.restart(e)
+		case 10:
+			if len(f.store.copies) < maxCopies {
+				break
+			}
+			f.store.setMode(linkRefused, false)
+			later(upTo(2*time.Second), func() {
+				f.restoreStore()
+				f.store.setMode(linkPass, false)
+			})
+			later(upTo(4*time.Second), f.changeRules)
 		case 9:
 			for _, e := range f.entries {
 				if fleet := e.Fleet(); fleet.Watcher == e.self.ID {
