Write the configuration in force again when the store has lost it

What operators would see on the product's own interface: after the store has come back from an older copy, an accepted change is gone from it, the next one is built on the older configuration and is not in force, since its revision is not higher, or takes the lost one back once it is.

Cause: entries take the stored configuration for the newest, although they have a newer one in force, and only the store would know it after a restart of all entries.

An entry that reads an older configuration than the one in force writes that again over it, with the changes of both histories, and a change starts from the newer of the two.

--- a/core/kctconfig/writer.go
+++ b/core/kctconfig/writer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,6 +39,8 @@
 	decode Decode
 	timer  kctport.Timer
 	jitter func() float64
+	// inForce returns the configuration in force, of revision 0 when there is none.
+	inForce func() kctport.Config
 }
 
 // WriterOption configures a Writer.
@@ -48,9 +51,15 @@
 	return func(w *Writer) { w.jitter = jitter }
 }
 
+// WithInForce lets a writer start from the configuration in force where the stored one is older: what was accepted is lost in a store that comes back from an
+// older copy, and not in the entries.
+func WithInForce(inForce func() kctport.Config) WriterOption {
+	return func(w *Writer) { w.inForce = inForce }
+}
+
 // NewWriter returns a writer that changes the record of a store.
 func NewWriter(store kctport.Store, encode Encode, decode Decode, timer kctport.Timer, opts ...WriterOption) *Writer {
-	w := &Writer{store: store, encode: encode, decode: decode, timer: timer, jitter: rand.Float64}
+	w := &Writer{store: store, encode: encode, decode: decode, timer: timer, jitter: rand.Float64, inForce: func() kctport.Config { return kctport.Config{} }}
 	for _, o := range opts {
 		o(w)
 	}
@@ -100,6 +109,7 @@
 	if err != nil {
 		return config, kctport.ChangeResult{}, err
 	}
+	config = w.newest(config)
 	next, err := Apply(config, p.request, w.timer.Now())
 	if errors.Is(err, ErrApplied) {
 		c, _ := FindChange(config, p.request.ID)
@@ -126,6 +136,40 @@
 	return next, kctport.ChangeResult{Outcome: kctport.Accepted, Revision: next.Revision, Message: c.Summary}, nil
 }
 
+// Restore writes the configuration in force again when the stored one is older; ErrConflict means that the stored one has changed meanwhile.
+func (w *Writer) Restore(ctx context.Context) error {
+	stored, version, err := w.read(ctx)
+	if err != nil {
+		return err
+	}
+	config := w.newest(stored)
+	if config.Revision == stored.Revision {
+		return nil
+	}
+	value, err := w.encode(config)
+	if err != nil {
+		return err
+	}
+	_, err = w.store.Write(ctx, Key, value, version, "")
+	return err
+}
+
+// newest returns the newer of the stored configuration and the one in force, with the changes of both histories, of which entries hold only the last ones.
+func (w *Writer) newest(stored kctport.Config) kctport.Config {
+	config := w.inForce()
+	if !Newer(stored, config) {
+		return stored
+	}
+	history := slices.Clone(stored.History)
+	for _, c := range config.History {
+		if c.Revision > stored.Revision {
+			history = appendHistory(history, c)
+		}
+	}
+	config.History = history
+	return config
+}
+
 // read returns the stored configuration and its version, or the default with version 0 when there is none.
 func (w *Writer) read(ctx context.Context) (kctport.Config, uint64, error) {
 	record, err := w.store.Read(ctx, Key)
--- a/core/kctconfig/writer_test.go
+++ b/core/kctconfig/writer_test.go
@@ -284,3 +284,45 @@
 	}
 	return 0, kctport.ErrUnavailable
 }
+
+// TestChangeOverOlderCopy guards against an accepted change that the next one takes back, and against a history that loses it, because the store has come back
+// from a copy that is older than the configuration in force.
+func TestChangeOverOlderCopy(t *testing.T) {
+	change := func(id, field, value string) kctport.ChangeRequest {
+		return kctport.ChangeRequest{ID: id, Author: "operator", Kind: kctport.SetDefault, Field: field, Value: value}
+	}
+	for _, restored := range []bool{false, true} {
+		s := &faultyStore{random: rand.New(rand.NewPCG(1, 1))}
+		var inForce kctport.Config
+		w := kctconfig.NewWriter(s, kctcodec.EncodeConfig, kctcodec.DecodeConfig, kcttimer.New(), kctconfig.WithInForce(func() kctport.Config { return inForce }))
+		accept := func(id, field, value string) {
+			t.Helper()
+			config, result := w.Change(t.Context(), change(id, field, value))
+			if result.Outcome != kctport.Accepted {
+				t.Fatalf("change %s: %+v", id, result)
+			}
+			inForce = config
+		}
+		accept("first", "canary", "false")
+		older := s.record
+		accept("lost", "queue", "77")
+		s.record = kctport.Record{Key: older.Key, Value: older.Value, Version: s.record.Version + 1}
+		// Entries send each other only the last changes of the history.
+		inForce.History = inForce.History[1:]
+		if restored {
+			if err := w.Restore(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		accept("next", "deadline", "900ms")
+		final := s.config(t)
+		if d := final.Defaults; d.Canary || d.Queue != 77 || d.Deadline != 900*time.Millisecond || final.Revision != 3 {
+			t.Errorf("written again %t: revision %d with %+v, want all three changes", restored, final.Revision, d)
+		}
+		for _, id := range []string{"first", "lost", "next"} {
+			if _, ok := kctconfig.FindChange(final, id); !ok {
+				t.Errorf("written again %t: change %s is not in the history", restored, id)
+			}
+		}
+	}
+}
--- a/core/kctcontrol/handle.go
+++ b/core/kctcontrol/handle.go
@@ -118,8 +118,7 @@
 
 // Change applies an operator's request, pushes the accepted configuration and waits up to 500 ms for it to be in force.
 func (c *Controller) Change(ctx context.Context, request kctport.ChangeRequest) kctport.ChangeResult {
-	writer := kctconfig.NewWriter(c.ports.Store, c.codec.Encode, c.codec.Decode, c.ports.Timer)
-	config, result := writer.Change(ctx, request)
+	config, result := c.writer(ctx).Change(ctx, request)
 	if result.Outcome != kctport.Accepted {
 		return result
 	}
@@ -129,6 +128,15 @@
 	return result
 }
 
+// writer returns a writer of the stored configuration that knows the one in force.
+func (c *Controller) writer(ctx context.Context) *kctconfig.Writer {
+	return kctconfig.NewWriter(c.ports.Store, c.codec.Encode, c.codec.Decode, c.ports.Timer, kctconfig.WithInForce(func() kctport.Config {
+		// Without an answer the control goroutine has ended, and so has the writer's context.
+		config, _ := c.Config(ctx)
+		return config
+	}))
+}
+
 // inForce waits at most peerTimeout for the pushes and counts the members known to have the revision and all live ones.
 func (c *Controller) inForce(ctx context.Context, revision kctport.Revision) (inForce, members int) {
 	waitCtx, cancel := context.WithTimeout(ctx, peerTimeout)
--- a/core/kctcontrol/poll.go
+++ b/core/kctcontrol/poll.go
@@ -8,6 +8,7 @@
 	"time"
 
 	kctport "kingcupturn"
+	"kingcupturn/core/kctconfig"
 	"kingcupturn/core/kctmember"
 )
 
@@ -18,6 +19,8 @@
 	watchPeriod = 10 * time.Second
 	// readPeriod is how often an entry without a watch reads the store, with jitter.
 	readPeriod = 30 * time.Second
+	// restoreTimeout bounds one attempt to write the configuration again.
+	restoreTimeout = 2 * time.Second
 	// retryPeriod spaces calls to a store that fails.
 	retryPeriod = 500 * time.Millisecond
 	// listPeriod is how often an entry of a small fleet reads the instance list.
@@ -72,6 +75,7 @@
 			c.recordOutcome("decode the configuration", err)
 			if err == nil {
 				c.post(ctx, configReceived{config: config, fromStore: true})
+				c.restoreStored(ctx, config)
 			}
 		case err == nil, errors.Is(err, kctport.ErrTimeout), errors.Is(err, kctport.ErrNotFound):
 			c.recordOutcome("read the configuration", nil)
@@ -84,6 +88,22 @@
 	}
 }
 
+// restoreStored writes the configuration in force again when the stored one is older, as in a store that has come back from an older copy.
+func (c *Controller) restoreStored(ctx context.Context, stored kctport.Config) {
+	inForce, err := c.Config(ctx)
+	if err != nil || !kctconfig.Newer(stored, inForce) {
+		return
+	}
+	callCtx, cancel := context.WithTimeout(ctx, restoreTimeout)
+	defer cancel()
+	err = c.writer(callCtx).Restore(callCtx)
+	if errors.Is(err, kctport.ErrConflict) {
+		// Another entry was faster.
+		err = nil
+	}
+	c.recordOutcome("write the configuration again", err)
+}
+
 // nextRecord reads the record at once at the start; after that a watcher waits for a new version, and other entries
 // read it when the next periodic read is due, also while the record does not exist yet.
 func (c *Controller) nextRecord(ctx context.Context, version uint64, first bool) (kctport.Record, error) {
--- a/io/kctfake/platform.go
+++ b/io/kctfake/platform.go
@@ -162,3 +162,13 @@
 	}
 	return list
 }
+
+// Copy returns the current state of the store, for Restore.
+func (p *Platform) Copy() kctadapter.StandInCopy {
+	return p.store.Copy()
+}
+
+// Restore lets the store come back from an older copy.
+func (p *Platform) Restore(older kctadapter.StandInCopy) {
+	p.store.Restore(older)
+}
