--- a/cmd/kingcupturn/process_test.go
+++ b/cmd/kingcupturn/process_test.go
@@ -20,6 +20,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kctwire"
 )
 
@@ -98,7 +99,7 @@
 
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	ports, err := kctfake.FreePorts(1)
+	ports, err := kctloopback.FreePorts(1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kctentry/cluster_test.go
+++ b/io/kctentry/cluster_test.go
@@ -13,6 +13,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kctsetting"
 	"kingcupturn/io/kctwire"
 )
@@ -64,7 +65,7 @@
 
 func freePort(t *testing.T) netip.AddrPort {
 	t.Helper()
-	ports, err := kctfake.FreePorts(1)
+	ports, err := kctloopback.FreePorts(1)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kctfeed/feed_test.go
+++ b/io/kctfeed/feed_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"net"
 	"net/netip"
 	"testing"
 	"time"
@@ -14,6 +13,7 @@
 	kctport "kingcupturn"
 	"kingcupturn/io/kctfake"
 	"kingcupturn/io/kctfeed"
+	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kcttimer"
 )
 
@@ -71,15 +71,14 @@
 	return kctport.RegistryChange{Kind: kctport.RecordEndpoint, Key: key, Value: value, Revision: revision, Deleted: deleted}
 }
 
-// freeAddress returns a loopback address with a free port; if another process takes the port first, the server fails to start and so does the test.
+// freeAddress returns a loopback address with a free port.
 func freeAddress(t *testing.T) netip.AddrPort {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ports, err := kctloopback.FreePorts(1)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return netip.MustParseAddrPort(l.Addr().String())
+	return ports[0]
 }
 
 // TestFeed guards against fields lost in encoding, and against large values that arrive changed by compression.
--- a/io/kctload/cluster.go
+++ b/io/kctload/cluster.go
@@ -11,6 +11,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kctwire"
 
 	"github.com/rotisserie/eris"
@@ -118,7 +119,7 @@
 }
 
 func (c *Cluster) addEntry(ctx context.Context, index int, start Starter, variant Variant) error {
-	ports, err := kctfake.FreePorts(2)
+	ports, err := kctloopback.FreePorts(2)
 	if err != nil {
 		return err
 	}
--- a/io/kctfake/port.go
+++ b/io/kctloopback/port.go
@@ -1,4 +1,4 @@
-package kctfake
+package kctloopback
 
 import (
 	"math/rand/v2"
@@ -35,7 +35,7 @@
 		if len(out) == count {
 			return out, nil
 		}
-		address := netip.AddrPortFrom(loopback.Addr(), uint16(lowestPort+nextPort.Add(1)%(highestPort-lowestPort)))
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(lowestPort+nextPort.Add(1)%(highestPort-lowestPort)))
 		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(address))
 		if err != nil {
 			continue
--- a/io/kctslope/fleet.go
+++ b/io/kctslope/fleet.go
@@ -13,6 +13,7 @@
 	"kingcupturn/io/kctcodec"
 	"kingcupturn/io/kctentry"
 	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kctsetting"
 	"kingcupturn/io/kctwire"
 	kctadapter "kingcupturn/platform"
@@ -99,7 +100,7 @@
 func zoneName(n int) kctport.Zone { return kctport.Zone(fmt.Sprintf("zone%d", n)) }
 
 func (f *fleet) startEntry(ctx context.Context, n int) error {
-	ports, err := kctfake.FreePorts(2)
+	ports, err := kctloopback.FreePorts(2)
 	if err != nil {
 		return err
 	}
