Answer all requests before the end of a planned stop

Cause: an entry that stops took every request until it closed its listener, 0.9 s before its end, whatever time the request might need, and waited for those in progress only until then.

An entry that stops refuses at once, as not run, what it can't be expected to answer in time: requests that may be repeated need twice their route's objective, all others the whole time that they are allowed. All requests still in progress 0.15 s before the exit are answered 504.

TestDrain is new.

--- a/core/kctforward/call.go
+++ b/core/kctforward/call.go
@@ -19,8 +19,9 @@
 	route   *kctport.Route
 	message *kctport.Message
 	trace   *Trace
-	// deadline is the earlier of the caller's deadline and the route's timeout.
+	// deadline is the earlier of the caller's deadline and the route's timeout, answerBy the earlier of it and the time at which this entry stops.
 	deadline time.Time
+	answerBy time.Time
 	// softDeadline is when a gather is answered from the parts received, if they reach the route's minimum coverage.
 	softDeadline time.Time
 	// includeAt is when parts that were left out are sent after all if the others don't reach the minimum coverage; zero without such parts.
@@ -82,6 +83,7 @@
 	if limit := message.Received.Add(route.Timeout); route.Timeout > 0 && limit.Before(c.deadline) {
 		c.deadline = limit
 	}
+	c.answerBy = c.deadline
 	c.softDeadline = message.Received.Add(route.Objective - returnReserve)
 	if len(route.Gather) > 0 {
 		for _, s := range route.Gather {
@@ -117,6 +119,23 @@
 	return c.collect(ctx)
 }
 
+// expectedTime returns the time within which the request can be expected to be answered: all the time that it has if it may not be repeated, since its
+// outcome would be unknown after that.
+func (c *call) expectedTime(now time.Time) time.Duration {
+	allowed := c.deadline.Sub(now)
+	if c.route.Idempotent {
+		return min(allowed, drainObjectives*c.route.Objective)
+	}
+	return allowed
+}
+
+// boundByStop makes the request be answered by the time at which this entry stops.
+func (c *call) boundByStop() {
+	if at := c.engine.stopsAt.Load(); at != nil && at.Before(c.answerBy) {
+		c.answerBy = *at
+	}
+}
+
 // release drops a reference and cancels the attempts' context with the last one.
 func (c *call) release() {
 	if c.refs.Add(-1) == 0 {
@@ -150,7 +169,7 @@
 func (c *call) collect(ctx context.Context) kctport.Reply {
 	wakeup, stop := c.wakeup()
 	defer func() { stop() }()
-	callerDone := ctx.Done()
+	callerDone, draining := ctx.Done(), c.engine.draining
 	for {
 		now := c.engine.timer.Now()
 		if reply, ok := c.decide(now); ok {
@@ -164,6 +183,9 @@
 			c.launchDue(c.engine.timer.Now())
 		case <-callerDone:
 			return c.abandon()
+		case <-draining:
+			draining = nil
+			c.boundByStop()
 		}
 		stop()
 		wakeup, stop = c.wakeup()
@@ -197,7 +219,7 @@
 
 // wakeup returns a channel that fires at the earliest of the deadline, the soft deadline and the parts' next attempts.
 func (c *call) wakeup() (<-chan time.Time, context.CancelFunc) {
-	next := c.deadline.Add(-deadlineReserve)
+	next := c.answerBy.Add(-deadlineReserve)
 	now := c.engine.timer.Now()
 	if len(c.route.Gather) > 0 && c.softDeadline.After(now) && c.softDeadline.Before(next) {
 		next = c.softDeadline
--- a/core/kctforward/decide.go
+++ b/core/kctforward/decide.go
@@ -91,7 +91,7 @@
 
 // decide returns the reply, and false while the request needs more results or time.
 func (c *call) decide(now time.Time) (kctport.Reply, bool) {
-	expired := !now.Before(c.deadline.Add(-deadlineReserve))
+	expired := !now.Before(c.answerBy.Add(-deadlineReserve))
 	if len(c.route.Gather) == 0 {
 		return c.decideSingle(c.parts[0], expired)
 	}
@@ -109,10 +109,10 @@
 	case p.failed != nil:
 		return endpointReply(p.failed), true
 	case len(p.pending) > 0:
-		return failure(statusTimeout, "no answer within the time that the caller or the route allows"), true
+		return failure(statusTimeout, c.expiry("no answer within the time that the caller or the route allows")), true
 	case p.ran > 0:
 		if expired {
-			return failure(statusTimeout, "time is over after a failed attempt"), true
+			return failure(statusTimeout, c.expiry("time is over after a failed attempt")), true
 		}
 		return failure(statusBadGateway, "attempt failed and may not be repeated"), true
 	case expired || p.nextAt.IsZero() || p.refusals > refusalsPerPart:
@@ -121,6 +121,14 @@
 	return kctport.Reply{}, false
 }
 
+// expiry returns the reason for the end of a request whose time is over.
+func (c *call) expiry(reason string) string {
+	if c.answerBy.Before(c.deadline) {
+		return "this entry stops: " + reason
+	}
+	return reason
+}
+
 // progress returns the number of parts that are answered and of those that may still be.
 func (c *call) progress() (answered, open int) {
 	for _, p := range c.parts {
@@ -153,7 +161,7 @@
 	for _, p := range c.parts {
 		if p.ran > 0 || len(p.pending) > 0 {
 			if expired {
-				return failure(statusTimeout, "too few shards answered in time")
+				return failure(statusTimeout, c.expiry("too few shards answered in time"))
 			}
 			return failure(statusBadGateway, "too few shards can answer")
 		}
--- a/core/kctforward/engine.go
+++ b/core/kctforward/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,6 +32,10 @@
 	refusalsPerPart = 3
 	// retryAfter is the delay after which a refused caller is asked to retry.
 	retryAfter = 150 * time.Millisecond
+	// handoverDelay takes its place while this entry stops, since another entry can serve the caller at once.
+	handoverDelay = 10 * time.Millisecond
+	// drainObjectives is the time, in objectives of its route, within which a request that may be repeated is expected to be answered.
+	drainObjectives = 2
 )
 
 // Engine answers requests; it is safe for concurrent use.
@@ -45,6 +50,10 @@
 	observer        Observer
 	attemptObserver kctport.Observer
 	applyDeadline   time.Duration
+	// draining is closed once this entry stops, and stopsAt is then the time by which all requests must be answered.
+	draining  chan struct{}
+	drainOnce sync.Once
+	stopsAt   atomic.Pointer[time.Time]
 	// coverages holds the strictest coverage by priority of the rules for which it was last computed.
 	coverages atomic.Pointer[coverages]
 }
@@ -73,7 +82,7 @@
 // NewEngine returns an engine that sends attempts through the exchanger and reports each request's trace to the observer.
 func NewEngine(fleets kctport.Fleets, timer kctport.Timer, exchanger kctport.Exchanger, p Policies, observer Observer, opts ...Option) *Engine {
 	e := &Engine{
-		fleets: fleets, timer: timer, exchanger: exchanger, observer: observer, attemptObserver: noopObserver{}, applyDeadline: defaultApplyDeadline,
+		fleets: fleets, timer: timer, exchanger: exchanger, observer: observer, attemptObserver: noopObserver{}, applyDeadline: defaultApplyDeadline, draining: make(chan struct{}),
 		balancer: p.Balancer, budget: p.Budget, delays: p.Delays, splitter: p.Splitter,
 	}
 	for _, o := range opts {
@@ -106,14 +115,33 @@
 	trace := &Trace{Message: message, Start: message.Received, Fleet: fleet}
 	reply, route := e.matchRoute(fleet, message, now)
 	if route != nil {
-		c := e.newCall(fleet, route, message, trace)
-		reply = c.run(ctx)
+		reply = e.answer(ctx, e.newCall(fleet, route, message, trace), now)
 	}
 	trace.Route, trace.Reply, trace.End = route, &reply, e.timer.Now()
 	e.observer.Answered(trace)
 	return reply
 }
 
+// answer runs a request, unless this entry stops before it can be expected to be answered.
+func (e *Engine) answer(ctx context.Context, c *call, now time.Time) kctport.Reply {
+	stopsAt := e.stopsAt.Load()
+	if stopsAt != nil && stopsAt.Sub(now) < c.expectedTime(now) {
+		reply := refusal("this entry stops too soon")
+		reply.RetryAfter = handoverDelay
+		return reply
+	}
+	return c.run(ctx)
+}
+
+// Drain makes this entry answer all requests by the time at which it stops: those in progress and new ones that can be expected to be answered by then. It
+// refuses the others as not run, since another entry has more time for them.
+func (e *Engine) Drain(stopsAt time.Time) {
+	e.drainOnce.Do(func() {
+		e.stopsAt.Store(&stopsAt)
+		close(e.draining)
+	})
+}
+
 // matchRoute returns the request's route, or the reply to a request without one.
 func (e *Engine) matchRoute(fleet *kctport.Fleet, message *kctport.Message, now time.Time) (kctport.Reply, *kctport.Route) {
 	if fleet.Rules == nil {
--- a/core/kctforward/engine_test.go
+++ b/core/kctforward/engine_test.go
@@ -104,15 +104,18 @@
 	return f
 }
 
+func newEngine(f *kctport.Fleet, e *endpoints, observer *traces, opts ...kctforward.Option) *kctforward.Engine {
+	return kctforward.NewEngine(&fleets{f}, kcttimer.New(), e, kctforward.Policies{
+		Balancer: kctbalance.New("", 1), Budget: kctbalance.NewBudget(kctbalance.BudgetSettings{Ratio: 0.2, Slack: 100}),
+		Delays: kctbalance.NewHedgeDelays(), Splitter: kctroutetable.NewSplitter(),
+	}, observer, opts...)
+}
+
 // forward sends one request through a new engine and returns its reply and trace.
 func forward(t *testing.T, f *kctport.Fleet, e *endpoints, opts ...kctforward.Option) (kctport.Reply, *kctforward.Trace) {
 	t.Helper()
-	settings := kctbalance.BudgetSettings{Ratio: 0.2, Slack: 100}
 	observer := &traces{}
-	engine := kctforward.NewEngine(&fleets{f}, kcttimer.New(), e, kctforward.Policies{
-		Balancer: kctbalance.New("", 1), Budget: kctbalance.NewBudget(settings),
-		Delays: kctbalance.NewHedgeDelays(), Splitter: kctroutetable.NewSplitter(),
-	}, observer, opts...)
+	engine := newEngine(f, e, observer, opts...)
 	now := time.Now()
 	reply := engine.Forward(t.Context(), &kctport.Message{ID: "1", Method: "GET", Host: "h", Path: "/a/b", Received: now, Deadline: now.Add(time.Second)})
 	return reply, observer.last
@@ -369,3 +372,58 @@
 		}
 	})
 }
+
+// TestDrain guards against requests that are taken while an entry stops and cut at its end, against a request that may not be repeated and is taken without
+// the time that it may need, and against refusals of what can be served in time.
+func TestDrain(t *testing.T) {
+	for name, c := range map[string]struct {
+		idempotent bool
+		// left is the time until the entry stops when the request arrives, and work how long the endpoints take.
+		left, work time.Duration
+		status     int
+		calls      int
+	}{
+		"time enough":                        {true, 300 * time.Millisecond, 50 * time.Millisecond, 200, -1},
+		"less than it can be expected to":    {true, 150 * time.Millisecond, 50 * time.Millisecond, 503, 0},
+		"longer than expected":               {true, 300 * time.Millisecond, time.Minute, 504, -1},
+		"may run once, all its time":         {false, 1500 * time.Millisecond, 50 * time.Millisecond, 200, 1},
+		"may run once, less than its time":   {false, 700 * time.Millisecond, 50 * time.Millisecond, 503, 0},
+		"may run once, longer than its time": {false, 1500 * time.Millisecond, time.Minute, 504, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := &endpoints{answers: map[kctport.InstanceID][]answer{}}
+				for _, id := range []kctport.InstanceID{"s-1", "s-2"} {
+					e.answers[id] = []answer{slow(id, c.work), slow(id, c.work), slow(id, c.work)}
+				}
+				engine := newEngine(fleet(single(c.idempotent), "s"), e, &traces{})
+				now := time.Now()
+				engine.Drain(now.Add(c.left))
+				reply := engine.Forward(t.Context(), &kctport.Message{ID: "1", Method: "GET", Host: "h", Path: "/a/b", Received: now, Deadline: now.Add(time.Second)})
+				took := time.Since(now)
+				time.Sleep(2 * time.Minute)
+				e.mu.Lock()
+				defer e.mu.Unlock()
+				if reply.Status != c.status || took > c.left || c.calls >= 0 && len(e.calls) != c.calls {
+					t.Errorf("status %d after %v and %d calls, want %d within %v and %d", reply.Status, took, len(e.calls), c.status, c.left, c.calls)
+				}
+				if c.status == 503 && (reply.RetryAfter <= 0 || took > 0) {
+					t.Errorf("refused after %v with a delay of %v, want at once and with one", took, reply.RetryAfter)
+				}
+			})
+		})
+	}
+	t.Run("in progress", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			e := &endpoints{answers: map[kctport.InstanceID][]answer{"s-1": {slow("s-1", time.Minute)}, "s-2": {slow("s-2", time.Minute)}}}
+			engine := newEngine(fleet(single(false), "s"), e, &traces{})
+			now := time.Now()
+			time.AfterFunc(100*time.Millisecond, func() { engine.Drain(now.Add(400 * time.Millisecond)) })
+			reply := engine.Forward(t.Context(), &kctport.Message{ID: "1", Method: "GET", Host: "h", Path: "/a/b", Received: now, Deadline: now.Add(time.Second)})
+			if took := time.Since(now); reply.Status != 504 || took > 400*time.Millisecond || took < 300*time.Millisecond {
+				t.Errorf("status %d after %v, want 504 just before the stop", reply.Status, took)
+			}
+			time.Sleep(2 * time.Minute)
+		})
+	})
+}
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -43,6 +43,8 @@
 	// exitReserve is the part of the grace time that is reserved for exiting before the platform kills the process, which takes a few hundred
 	// milliseconds on a fifth of a core.
 	exitReserve = 500 * time.Millisecond
+	// answerReserve is the time before the exit by which all requests are answered, so that the answers reach their callers.
+	answerReserve = 150 * time.Millisecond
 	// closePeriod is the last part of serving during the drain, in which each answer closes its connection.
 	closePeriod = time.Second
 )
@@ -59,6 +61,7 @@
 	droppedLines func() uint64
 	// budgetSettings are the limits of extra attempts, as last reloaded.
 	budgetSettings atomic.Pointer[kctbalance.BudgetSettings]
+	engine         *kctforward.Engine
 	ingress        *kctingress.Server
 	relay          *kctrelay.Client
 }
@@ -107,9 +110,9 @@
 	n.metrics.RegisterFleet(n.control, n.timer, n.policies.Balancer, n.egress.Opened, n.droppedLines)
 	n.relay = kctrelay.NewClient(n.timer)
 	path := kctrelaypath.New(n.self(), n.control, n.egress, n.relay, n.timer)
-	engine := kctforward.NewEngine(n.control, n.timer, path, n.policies, observers{log, n.metrics},
+	n.engine = kctforward.NewEngine(n.control, n.timer, path, n.policies, observers{log, n.metrics},
 		kctforward.WithAttemptObserver(n.control), kctforward.WithApplyDeadline(settings.Apply))
-	n.ingress = kctingress.New(settings.Caller, engine, n.control, kctadapter.Dialect{}, n.timer)
+	n.ingress = kctingress.New(settings.Caller, n.engine, n.control, kctadapter.Dialect{}, n.timer)
 	return n
 }
 
@@ -234,11 +237,13 @@
 	return nil
 }
 
-// drain leaves the directory, serves callers that still use this entry's address, and shuts down after the requests in progress.
+// drain leaves the directory, serves callers that still use this entry's address as long as there is time for their requests, and shuts down after the
+// requests in progress.
 func (n *Node) drain(ctx context.Context) error {
 	started := n.timer.Now()
 	klog.InfoS("entry draining", "id", n.settings.ID, "grace", n.settings.Grace)
 	n.control.Leave(ctx)
+	n.engine.Drain(started.Add(n.settings.Grace - exitReserve - answerReserve))
 	serving := n.settings.Grace - finishReserve - exitReserve
 	n.sleep(ctx, serving-closePeriod)
 	n.ingress.DisableKeepAlives()
