--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -50,6 +50,7 @@
 	// contact is the contact with the store as last published, and contactChanged tells the source goroutine of its changes.
 	contact        atomic.Pointer[contactView]
 	contactChanged chan struct{}
+	contactLosses  atomic.Uint64
 	checker        kctport.Checker
 
 	onPublish []func(*kctport.Fleet)
@@ -137,6 +138,11 @@
 	return c.fleet.Load()
 }
 
+// ContactLosses returns how often contact with the store was lost since the start.
+func (c *Controller) ContactLosses() uint64 {
+	return c.contactLosses.Load()
+}
+
 // Self returns this entry's current record.
 func (c *Controller) Self() kctport.EntryRecord {
 	r := c.self
@@ -235,9 +241,13 @@
 	age := now.Sub(f.LastContact)
 	c.checker.Check(!s.contact.inContact() || f.Watcher != "" && age <= c.maxAge, "contact with the store is current",
 		fmt.Sprintf("watched by %q, age %v", f.Watcher, age))
-	if old := c.contact.Swap(&v); *old == v {
+	old := c.contact.Swap(&v)
+	if *old == v {
 		return
 	}
+	if old.lostSince.IsZero() && !v.lostSince.IsZero() {
+		c.contactLosses.Add(1)
+	}
 	select {
 	case c.contactChanged <- struct{}{}:
 	default:
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -1,11 +1,8 @@
 package kctfleet
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	kctport "kingcupturn"
@@ -24,30 +21,17 @@
 	lossTolerance = 300 * time.Millisecond
 	// scanInterval is the time between two rounds of questions to other entries while contact is lost.
 	scanInterval = 600 * time.Millisecond
-	// scanTimeout bounds a round.
-	scanTimeout = 400 * time.Millisecond
 	// probeInterval is the time between two calls of the store by the first entry of a zone while contact is lost. Each next one waits half of it
 	// longer, so that the calls of a zone grow with the logarithm of its size.
 	probeInterval = 500 * time.Millisecond
 	// readersWait lets readers that have just reached the store again, or have just claimed a zone, show contact before another entry watches the store.
 	readersWait = 150 * time.Millisecond
-	// turnStep is how much later than the one before it each of the first entries of a zone calls the store without contact, and turnDelay that of the
-	// others: a complete reading of a large store takes longer than turnStep, and only as many at once as the store can bear.
-	turnStep   = 100 * time.Millisecond
-	turnDelay  = 500 * time.Millisecond
-	firstTurns = 4
 	// aloneTime is how long an entry that watches the store without being a reader does so before it changes to a reader in contact.
 	aloneTime = 3 * time.Second
 	// peerPreference is how long a reader without answers of its own keeps trying before it changes to another reader in contact.
 	peerPreference = time.Second
-	// hubRetention is how long an entry whose feed failed, or that was not in contact, is not asked again for another entry's place.
-	hubRetention = leaseTTL
 	// sourceCheckInterval is how often an entry checks its source when nothing happens.
 	sourceCheckInterval = 100 * time.Millisecond
-	// otherCandidates is the number of readers of other zones that an entry asks in one round, and standIns that of the entries of its own zone which
-	// watch the store first when no reader does.
-	otherCandidates = 3
-	standIns        = 2
 )
 
 // sourceLoop chooses where this entry's state comes from: its own watch of the store, as the reader of its zone or in place of one, or another entry
@@ -143,11 +127,6 @@
 	}
 }
 
-// turn returns how long an entry leaves the store to those of its zone that come before it.
-func turn(rank int) time.Duration {
-	return time.Duration(min(rank, firstTurns-1))*turnStep + time.Duration(max(0, rank-firstTurns+1))*turnDelay
-}
-
 // probe asks the store for the readers. When it answers, this entry claims its zone if that has no reader, or follows a reader that it did not know.
 func (l *sourceLoop) probe(ctx context.Context, now time.Time) {
 	l.lastProbe = now
@@ -186,126 +165,6 @@
 	return readers, err
 }
 
-// rank returns how many entries of the zone come before this one when somebody has to call the store.
-func (l *sourceLoop) rank() int {
-	return slices.IndexFunc(l.zoneEntries(), func(e kctport.EntryRecord) bool { return e.ID == l.self.ID })
-}
-
-// zoneEntries lists the entries of this zone in the order in which they call the store, with those that failed recently last.
-func (l *sourceLoop) zoneEntries() []kctport.EntryRecord {
-	entries := []kctport.EntryRecord{l.self}
-	for _, e := range l.Fleet().Entries {
-		if e.Zone == l.self.Zone && e.ID != l.self.ID {
-			entries = append(entries, e)
-		}
-	}
-	slices.SortFunc(entries, func(a, b kctport.EntryRecord) int {
-		return cmp.Or(cmp.Compare(l.failedRank(a), l.failedRank(b)), cmp.Compare(idHash(a.ID), idHash(b.ID)), cmp.Compare(a.ID, b.ID))
-	})
-	return entries
-}
-
-func (l *sourceLoop) failedRank(e kctport.EntryRecord) int {
-	if l.failedRecently(e) {
-		return 1
-	}
-	return 0
-}
-
-func (l *sourceLoop) failedRecently(e kctport.EntryRecord) bool {
-	at, ok := l.failures[e.ID]
-	return ok && l.timer.Now().Sub(at) < hubRetention
-}
-
-// candidates lists the entries to ask for contact, the preferred ones first: the zone's reader, some readers of other zones, and the entries of the
-// zone that watch the store first when no reader does.
-func (l *sourceLoop) candidates(readers []kctport.EntryRecord) []kctport.EntryRecord {
-	others := slices.Clone(readers)
-	l.shuffle(others)
-	var list []kctport.EntryRecord
-	if r, ok := l.zoneReader(readers); ok {
-		list = append(list, r)
-	}
-	for _, r := range others {
-		if r.Zone != l.self.Zone && len(list) <= otherCandidates {
-			list = append(list, r)
-		}
-	}
-	for i, e := range l.zoneEntries() {
-		if i < standIns && !slices.ContainsFunc(list, func(r kctport.EntryRecord) bool { return r.ID == e.ID }) {
-			list = append(list, e)
-		}
-	}
-	return slices.DeleteFunc(list, func(e kctport.EntryRecord) bool {
-		return e.ID == l.self.ID || l.hub != nil && e.ID == l.hub.entry.ID
-	})
-}
-
-func (l *sourceLoop) shuffle(list []kctport.EntryRecord) {
-	rand.New(rand.NewPCG(l.random.Uint64(), 0)).Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-}
-
-// answer is what a candidate says of its contact with the store.
-type answer struct {
-	candidate int
-	contact   kctport.StoreContact
-	err       error
-}
-
-// scan returns the preferred candidate that is in contact with the store; with no hub and none in contact, the first that answers, which passes on what
-// it has.
-func (l *sourceLoop) scan(ctx context.Context, readers []kctport.EntryRecord) *kctport.EntryRecord {
-	candidates := l.candidates(readers)
-	inContact, reachable := l.ask(ctx, candidates)
-	switch {
-	case inContact < len(candidates):
-		return &candidates[inContact]
-	case l.hub == nil && reachable < len(candidates):
-		return &candidates[reachable]
-	}
-	return nil
-}
-
-// ask asks all candidates at once; it returns the index of the first one that is in contact with the store and of the first other one that answers, and
-// the number of candidates where there is none.
-func (l *sourceLoop) ask(ctx context.Context, candidates []kctport.EntryRecord) (inContact, reachable int) {
-	callCtx, cancel := context.WithTimeout(ctx, scanTimeout)
-	defer cancel()
-	answers := make(chan answer, len(candidates))
-	for i, e := range candidates {
-		go func() {
-			contact, err := l.feed.Contact(callCtx, e, l.Self())
-			answers <- answer{i, contact, err}
-		}()
-	}
-	inContact, reachable = len(candidates), len(candidates)
-	answered := make([]bool, len(candidates))
-	for range candidates {
-		a := <-answers
-		answered[a.candidate] = true
-		switch {
-		case a.err != nil:
-			if callCtx.Err() == nil {
-				l.failures[candidates[a.candidate].ID] = l.timer.Now()
-			}
-		case l.isSource(a.contact):
-			inContact = min(inContact, a.candidate)
-		default:
-			reachable = min(reachable, a.candidate)
-		}
-		if inContact < len(candidates) && !slices.Contains(answered[:inContact], false) {
-			// The others are not waited for, but for the end of their calls.
-			cancel()
-		}
-	}
-	return inContact, reachable
-}
-
-// isSource reports whether an entry with this contact can be followed.
-func (l *sourceLoop) isSource(c kctport.StoreContact) bool {
-	return c.Watcher != "" && c.Watcher != l.self.ID && c.Hops < maxHops && c.Age < l.maxAge
-}
-
 // changeHub follows an entry in place of the former one, if its feed works; it returns whether this entry is then in contact with the store.
 func (l *sourceLoop) changeHub(ctx context.Context, entry *kctport.EntryRecord) bool {
 	if entry == nil {
--- a/core/kctfleet/source_test.go
+++ b/core/kctfleet/source_test.go
@@ -10,6 +10,8 @@
 	kctport "kingcupturn"
 )
 
+var callsEntries = flag.Int("calls.entries", 0, "number of entries of another fleet in 17 zones whose calls of the store are counted")
+
 var faultSeeds = flag.Int("faults.seeds", 12, "number of seeds of the random faults")
 
 // stable is the time without a disruption of its own after which an entry must keep the bounds (the users' stable-window-ms).
@@ -194,39 +196,48 @@
 		calm, lost int
 	}{{9, 3, 6, 30}, {90, 4, 8, 60}} {
 		t.Run(fmt.Sprint(c.entries), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newSimFleet(t, 1, c.entries, c.zones)
-				defer f.end()
-				for range 100 {
-					f.step()
-				}
-				calm := time.Now()
-				for range 50 {
-					f.step()
-				}
-				killed := time.Now()
-				for _, e := range f.entries {
-					if e.Fleet().Watcher == e.self.ID {
-						f.kill(e)
-						e.killed = true
-					}
-				}
-				f.changeRules()
-				for range 50 {
-					f.step()
-				}
-				perSecond := float64(f.callsIn(calm, killed)) / killed.Sub(calm).Seconds()
-				most := 0
-				for at := killed; at.Before(time.Now()); at = at.Add(100 * time.Millisecond) {
-					most = max(most, f.callsIn(at, at.Add(time.Second)))
-				}
-				t.Logf("%d entries in %d zones: %.1f calls a second in calm, at most %d in a second after the loss of all readers", c.entries, c.zones, perSecond, most)
-				if perSecond > float64(c.calm) || most > c.lost {
-					t.Errorf("more than %d or %d calls", c.calm, c.lost)
-				}
-			})
+			calm, lost := measureCalls(t, c.entries, c.zones)
+			if calm > float64(c.calm) || lost > c.lost {
+				t.Errorf("%.1f calls a second in calm and %d in a second without readers, want at most %d and %d", calm, lost, c.calm, c.lost)
+			}
 		})
 	}
+	if *callsEntries > 0 {
+		const targetZones = 17
+		measureCalls(t, *callsEntries, targetZones)
+	}
+}
+
+// measureCalls returns the calls a second in calm, and the most in one second after all readers of a fleet have been killed.
+func measureCalls(t *testing.T, entries, zones int) (calm float64, lost int) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSimFleet(t, 1, entries, zones)
+		defer f.end()
+		for range 100 {
+			f.step()
+		}
+		began := time.Now()
+		for range 50 {
+			f.step()
+		}
+		killed := time.Now()
+		for _, e := range f.entries {
+			if e.Fleet().Watcher == e.self.ID {
+				f.kill(e)
+				e.killed = true
+			}
+		}
+		f.changeRules()
+		for range 50 {
+			f.step()
+		}
+		calm = float64(f.callsIn(began, killed)) / killed.Sub(began).Seconds()
+		for at := killed; at.Before(time.Now()); at = at.Add(100 * time.Millisecond) {
+			lost = max(lost, f.callsIn(at, at.Add(time.Second)))
+		}
+		t.Logf("%d entries in %d zones: %.1f calls a second in calm, at most %d in a second after the loss of all readers", entries, zones, calm, lost)
+	})
+	return calm, lost
 }
 
 var _ kctport.Registry = (*simLink)(nil)
--- a/io/kctmetric/serving.go
+++ b/io/kctmetric/serving.go
@@ -26,7 +26,8 @@
 	attempts  *prometheus.CounterVec
 	parts     *prometheus.CounterVec
 	// decisions counts failed attempts and missing shards by what happened.
-	decisions *prometheus.CounterVec
+	decisions  *prometheus.CounterVec
+	violations *prometheus.CounterVec
 }
 
 // NewServing returns metrics in a registry of their own. Routes are grouped by kind and priority to bound the number of label values, since rules may
@@ -43,6 +44,7 @@
 	m.objective = counter("objective_total", "Requests that met or missed their route's objective.", "service", "kind", "result")
 	m.attempts = counter("attempts_total", "Attempts at endpoints by kind: first, hedge or retry.", "kind")
 	m.parts = counter("parts_total", "Parts of gathered answers, answered or missing.", "result")
+	m.violations = counter("violations_total", "Violations of run time invariants by name.", "invariant")
 	m.decisions = counter("decisions_total", "Decisions about requests that were not served plainly.", "what")
 	m.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: Namespace, Name: "latency_seconds", Help: "Time from the reading of a request to its answer.", Buckets: latencyBuckets,
@@ -56,8 +58,19 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
 }
 
+// Violation counts a violated invariant; it has the signature of the report function of core/kctcheck.
+func (m *Serving) Violation(invariant, _ string) {
+	m.violations.WithLabelValues(invariant).Inc()
+}
+
+// Counters are counters that other packages maintain.
+type Counters struct {
+	// Opened counts connections to endpoints, Dropped log lines, and Losses losses of contact with the store.
+	Opened, Dropped, Losses func() uint64
+}
+
 // RegisterFleet registers gauges of the current fleet state, and counters that other packages maintain.
-func (m *Serving) RegisterFleet(fleets kctport.Fleets, timer kctport.Timer, b *kctbalance.Balancer, opened, dropped func() uint64) {
+func (m *Serving) RegisterFleet(fleets kctport.Fleets, timer kctport.Timer, b *kctbalance.Balancer, counters Counters) {
 	gauge := func(name, help string, read func(f *kctport.Fleet) float64) {
 		opts := prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}
 		m.registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return read(fleets.Fleet()) }))
@@ -79,7 +92,13 @@
 	})
 	gauge("lapsed_endpoints", "Endpoints whose records disappeared and that may get work until it is clear whether an outage of the store was the cause.",
 		func(f *kctport.Fleet) float64 { return float64(f.Lapsed) })
-	gauge("store_age_seconds", "Time since the store was last heard, directly or by a reader.", func(f *kctport.Fleet) float64 {
+	gauge("store_hops", "Feeds between this entry and the one that watches the store, -1 without contact with the store.", func(f *kctport.Fleet) float64 {
+		if f.Watcher == "" {
+			return -1
+		}
+		return float64(f.WatcherHops)
+	})
+	gauge("store_age_seconds", "Age of the state: time up to which all changes of the store are known.", func(f *kctport.Fleet) float64 {
 		return timer.Now().Sub(f.LastContact).Seconds()
 	})
 	gauge("ejected_endpoints", "Endpoints that rest after failures seen by this entry.", func(*kctport.Fleet) float64 {
@@ -90,8 +109,9 @@
 		opts := prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}
 		m.registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(read()) }))
 	}
-	counter("connections_opened_total", "Connections opened to endpoints.", opened)
-	counter("log_lines_dropped_total", "Log lines dropped because the reader of standard output was slow.", dropped)
+	counter("connections_opened_total", "Connections opened to endpoints.", counters.Opened)
+	counter("log_lines_dropped_total", "Log lines dropped because the reader of standard output was slow.", counters.Dropped)
+	counter("store_losses_total", "Losses of contact with the store.", counters.Losses)
 }
 
 // Answered counts a finished request.
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -16,6 +16,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/core/kctbalance"
+	"kingcupturn/core/kctcheck"
 	"kingcupturn/core/kctdirectory"
 	"kingcupturn/core/kctfleet"
 	"kingcupturn/core/kctforward"
@@ -105,9 +106,12 @@
 	n.usage = kctusage.New(n.timer, settings.Cores)
 	n.control = kctfleet.New(n.self(), kctadapter.NewClient(settings.Store), kctfeed.NewClient(n.timer, kctadapter.Decode), n.timer, log,
 		kctfleet.WithOnPublish(n.updatePolicies), kctfleet.WithLoad(n.usage.Share), kctfleet.WithSeed(seed),
-		kctfleet.WithZones(settings.Zones), kctfleet.WithApplyDeadline(settings.Apply), kctfleet.WithHeartbeat(settings.Heartbeat))
+		kctfleet.WithZones(settings.Zones), kctfleet.WithApplyDeadline(settings.Apply), kctfleet.WithHeartbeat(settings.Heartbeat),
+		kctfleet.WithChecker(kctcheck.New(n.reportViolation)))
 	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
-	n.metrics.RegisterFleet(n.control, n.timer, n.policies.Balancer, n.egress.Opened, n.droppedLines)
+	n.metrics.RegisterFleet(n.control, n.timer, n.policies.Balancer, kctmetric.Counters{
+		Opened: n.egress.Opened, Dropped: n.droppedLines, Losses: n.control.ContactLosses,
+	})
 	n.relay = kctrelay.NewClient(n.timer)
 	path := kctrelaypath.New(n.self(), n.control, n.egress, n.relay, n.timer)
 	n.engine = kctforward.NewEngine(n.control, n.timer, path, n.policies, observers{log, n.metrics},
@@ -116,6 +120,12 @@
 	return n
 }
 
+// reportViolation counts and logs a violated invariant.
+func (n *Node) reportViolation(invariant, evidence string) {
+	n.metrics.Violation(invariant, evidence)
+	klog.ErrorS(nil, "invariant violated", "invariant", invariant, "evidence", evidence)
+}
+
 // Reload applies new limits of extra attempts at once; other changed settings need a restart, which is logged.
 func (n *Node) Reload(settings kctsetting.Serving) {
 	n.budgetSettings.Store(&kctbalance.BudgetSettings{Ratio: settings.Ratio, Slack: settings.Slack})
