--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -237,10 +237,9 @@
 func (c *Controller) publishContact(s *state, now time.Time) {
 	_, ownAnswers := s.contact.ownObservation(now)
 	v := contactView{lostSince: s.contact.lostSince, ownAnswers: ownAnswers}
-	f := c.Fleet()
-	age := now.Sub(f.LastContact)
-	c.checker.Check(!s.contact.inContact() || f.Watcher != "" && age <= c.maxAge, "contact with the store is current",
-		fmt.Sprintf("watched by %q, age %v", f.Watcher, age))
+	if f := c.Fleet(); s.contact.inContact() && (f.Watcher == "" || now.Sub(f.LastContact) > c.maxAge) {
+		c.checker.Check(false, "contact with the store is current", fmt.Sprintf("watched by %q, age %v", f.Watcher, now.Sub(f.LastContact)))
+	}
 	old := c.contact.Swap(&v)
 	if *old == v {
 		return
