Bound the failures that an entry remembers; steadiness of all observations before contact counts

A reader that was stopped and hears from a feed that was in contact all along keeps the start of that contact.

--- a/core/kctfleet/contact.go
+++ b/core/kctfleet/contact.go
@@ -179,10 +179,14 @@
 	if !ok {
 		return c.lose(now)
 	}
-	events := c.gain(now, best)
 	for _, o := range c.feeds {
 		if c.isContact(o, now) {
 			best.steadySince = earliest(best.steadySince, o.steadySince)
+		}
+	}
+	events := c.gain(now, best)
+	for _, o := range c.feeds {
+		if c.isContact(o, now) {
 			c.record(now, o)
 		}
 	}
--- a/core/kctfleet/scan.go
+++ b/core/kctfleet/scan.go
@@ -85,7 +85,7 @@
 		switch {
 		case a.err != nil:
 			if !errors.Is(callCtx.Err(), context.Canceled) {
-				l.failures[candidates[a.candidate].ID] = l.timer.Now()
+				l.recordFailure(candidates[a.candidate].ID)
 			}
 		case l.isSource(a.contact):
 			inContact = min(inContact, a.candidate)
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -85,7 +85,7 @@
 func (l *sourceLoop) step(ctx context.Context) {
 	now := l.timer.Now()
 	if l.hub != nil && l.hub.hasEnded() {
-		l.failures[l.hub.entry.ID] = now
+		l.recordFailure(l.hub.entry.ID)
 		l.hub = nil
 	}
 	v := l.contact.Load()
@@ -174,7 +174,7 @@
 	select {
 	case <-next.updated:
 	case <-next.done:
-		l.failures[entry.ID] = l.timer.Now()
+		l.recordFailure(entry.ID)
 		return false
 	}
 	l.dropHub()
@@ -231,7 +231,7 @@
 		if inContact, _ := l.ask(ctx, []kctport.EntryRecord{r}); inContact == 0 {
 			l.changeHub(ctx, &r)
 		} else {
-			l.failures[r.ID] = now
+			l.recordFailure(r.ID)
 		}
 	}
 }
--- a/core/kctfleet/turn.go
+++ b/core/kctfleet/turn.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -40,6 +41,13 @@
 	return entries
 }
 
+// recordFailure records that an entry was found not to be a source, and forgets older failures.
+func (l *sourceLoop) recordFailure(id kctport.InstanceID) {
+	now := l.timer.Now()
+	maps.DeleteFunc(l.failures, func(_ kctport.InstanceID, at time.Time) bool { return now.Sub(at) >= hubRetention })
+	l.failures[id] = now
+}
+
 func (l *sourceLoop) failedRank(e kctport.EntryRecord) int {
 	if l.failedRecently(e) {
 		return 1
