--- a/core/kctforward/engine.go
+++ b/core/kctforward/engine.go
@@ -133,8 +133,7 @@
 	return c.run(ctx)
 }
 
-// Drain makes this entry answer all requests by the time at which it stops: those in progress and new ones that can be expected to be answered by then. It
-// refuses the others as not run, since another entry has more time for them.
+// Drain makes this entry answer all requests by the time at which it stops, and refuse new ones that it can't be expected to answer by then.
 func (e *Engine) Drain(stopsAt time.Time) {
 	e.drainOnce.Do(func() {
 		e.stopsAt.Store(&stopsAt)
--- a/forward.go
+++ b/forward.go
@@ -137,16 +137,15 @@
 type Registry interface {
 	// Load reads all records.
 	Load(ctx context.Context) (RegistryState, error)
-	// Watch returns the changes after a revision; no change within the wait is not an error. ErrCompacted means that some of them are not known any more, or
-	// that the revision is of a former era of the store.
+	// Watch returns the changes after a revision, and ErrCompacted when some are no longer known or the revision is of a former era; no change within the wait
+	// is not an error.
 	Watch(ctx context.Context, after StoreRevision, wait time.Duration) ([]RegistryChange, StoreRevision, error)
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	Renew(ctx context.Context, lease Lease) error
 	Revoke(ctx context.Context, lease Lease) error
 	// Readers lists the entries that read the store for their zones.
 	Readers(ctx context.Context) ([]EntryRecord, error)
-	// Claim makes an entry the reader of its zone while the lease lasts; ErrConflict means that another entry is. A record of the same entry, such as
-	// that of its former lease, is replaced.
+	// Claim makes an entry the reader of its zone while the lease lasts, in place of itself under a former lease; ErrConflict means that another entry is.
 	Claim(ctx context.Context, entry EntryRecord, lease Lease) error
 	// SaveMove writes the progress of a move and the status for the operator, which shows the end of a move only once it is announced. It
 	// fails with ErrConflict when the record's revision isn't the expected one, zero for a new record.
--- a/registry.go
+++ b/registry.go
@@ -24,9 +24,9 @@
 	Started time.Time
 }
 
-// StoreRevision numbers the changes in the platform's store. A store that comes back from an older copy begins a new era: it gives out the numbers
-// after those of the copy again, so that a number alone is neither an identity nor an order.
+// StoreRevision identifies and orders the changes in the platform's store.
 type StoreRevision struct {
+	// Era rises when the store comes back from an older copy; it then gives out the numbers after those of the copy again.
 	Era    uint64
 	Number uint64
 }
