Don't wait again and again for an entry that does not answer

Each round of questions waited 0.4 s for the silent reader, three times in a row, and the turn at the store was judged by the time before the round.

An entry that did not answer is not asked again for 1 s, the time is taken after a round, and after an answer of the store only readers that were not known are asked.

--- a/core/kctfleet/scan.go
+++ b/core/kctfleet/scan.go
@@ -12,8 +12,10 @@
 const (
 	// scanTimeout bounds a round of questions.
 	scanTimeout = 400 * time.Millisecond
-	// hubRetention is how long an entry whose feed failed, or that was not in contact, comes last.
-	hubRetention = leaseTTL
+	// failureRetention is how long an entry that did not answer comes last in its zone, and silenceRetention how long it isn't asked again: one that is out of
+	// reach costs each round its whole time.
+	failureRetention = leaseTTL
+	silenceRetention = time.Second
 	// otherCandidates is the number of readers of other zones that an entry asks in one round, and standIns that of the entries of its own zone which
 	// watch the store first when no reader does.
 	otherCandidates = 3
@@ -40,7 +42,7 @@
 		}
 	}
 	return slices.DeleteFunc(list, func(e kctport.EntryRecord) bool {
-		return e.ID == l.self.ID || l.hub != nil && e.ID == l.hub.entry.ID
+		return e.ID == l.self.ID || l.hub != nil && e.ID == l.hub.entry.ID || l.failedWithin(e, silenceRetention)
 	})
 }
 
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	kctport "kingcupturn"
@@ -13,6 +14,8 @@
 	startJitter = 400 * time.Millisecond
 	// switchJitter spreads the subscriptions of entries that change to the new reader of their zone, each of which costs a full update.
 	switchJitter = 500 * time.Millisecond
+	// switchInterval is the shortest time between two such changes.
+	switchInterval = leaseTTL
 	// shortCallTimeout bounds the calls that precede a choice of source: a starting entry serves no callers until it has one, and after an outage the
 	// store answers a new call sooner than one that was lost in the outage.
 	shortCallTimeout = 400 * time.Millisecond
@@ -30,8 +33,9 @@
 	aloneTime = 3 * time.Second
 	// peerPreference is how long a reader without answers of its own keeps trying before it changes to another reader in contact.
 	peerPreference = time.Second
-	// sourceCheckInterval is how often an entry checks its source when nothing happens.
-	sourceCheckInterval = 100 * time.Millisecond
+	// sourceCheckInterval is how often an entry checks its source when nothing happens, and lostCheckInterval while it has no contact.
+	sourceCheckInterval = 250 * time.Millisecond
+	lostCheckInterval   = 100 * time.Millisecond
 )
 
 // sourceLoop chooses where this entry's state comes from: its own watch of the store, as the reader of its zone or in place of one, or another entry
@@ -45,9 +49,9 @@
 	// lastScan and lastProbe are the times of the last questions to other entries and to the store without contact; answeredAt is when the store
 	// first answered one, zero before and while there is contact.
 	lastScan, lastProbe, answeredAt time.Time
-	// switchAt is when to change to the zone's reader, zero when that is not planned.
-	switchAt time.Time
-	// failures is when an entry was last found not to be a source.
+	// switchAt is when to change to the zone's reader, zero when that is not planned, and switchAfter when to plan it again.
+	switchAt, switchAfter time.Time
+	// failures is when an entry last did not answer, or its feed ended.
 	failures map[kctport.InstanceID]time.Time
 }
 
@@ -56,18 +60,28 @@
 	l := &sourceLoop{Controller: c, failures: map[kctport.InstanceID]time.Time{}}
 	c.loadOnce(ctx)
 	c.pause(ctx, time.Duration(c.random.Int64N(int64(startJitter))))
-	ticks := c.timer.Subscribe(ctx, sourceCheckInterval)
 	for ctx.Err() == nil {
 		l.step(ctx)
-		select {
-		case <-ctx.Done():
-		case <-ticks:
-		case <-c.contactChanged:
-		}
+		l.wait(ctx)
 	}
 	l.dropHub()
 }
 
+// wait waits until the contact with the store changes or the next check is due.
+func (l *sourceLoop) wait(ctx context.Context) {
+	interval := sourceCheckInterval
+	if !l.contact.Load().lostSince.IsZero() {
+		interval = lostCheckInterval
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	select {
+	case <-ctx.Done():
+	case <-l.timer.After(ctx, interval):
+	case <-l.contactChanged:
+	}
+}
+
 // loadOnce reads the store once. A starting entry serves no callers until it has a fleet state, and after a power failure the readers in the
 // store's records have no more state than this entry. Without an answer in time other entries are tried, whose feeds are compressed.
 func (c *Controller) loadOnce(ctx context.Context) {
@@ -109,11 +123,12 @@
 // seek looks for contact with the store: first another entry that has it, then the store itself, when it is this entry's turn.
 func (l *sourceLoop) seek(ctx context.Context, now time.Time) {
 	readers := *l.readers.Load()
-	if now.Sub(l.lastScan) >= scanInterval || l.hub == nil && len(readers) > 0 && now.Sub(l.lastScan) >= sourceCheckInterval {
+	if now.Sub(l.lastScan) >= scanInterval || l.hub == nil && len(readers) > 0 && now.Sub(l.lastScan) >= lostCheckInterval {
 		l.lastScan = now
 		if l.changeHub(ctx, l.scan(ctx, readers)) {
 			return
 		}
+		now = l.timer.Now()
 	}
 	rank := l.rank()
 	switch {
@@ -144,8 +159,15 @@
 			return
 		}
 	}
-	if !l.changeHub(ctx, l.scan(ctx, readers)) && l.answeredAt.IsZero() {
-		l.answeredAt = now
+	if l.answeredAt.IsZero() {
+		l.answeredAt = l.timer.Now()
+	}
+	known := *l.readers.Load()
+	unknown := slices.DeleteFunc(readers, func(r kctport.EntryRecord) bool {
+		return slices.ContainsFunc(known, func(k kctport.EntryRecord) bool { return k.ID == r.ID })
+	})
+	if len(unknown) > 0 {
+		l.changeHub(ctx, l.scan(ctx, unknown))
 	}
 }
 
@@ -222,16 +244,14 @@
 func (l *sourceLoop) preferZoneReader(ctx context.Context, now time.Time) {
 	r, ok := l.zoneReader(*l.readers.Load())
 	switch {
-	case !ok || r.ID == l.hub.entry.ID || l.failedRecently(r):
+	case !ok || r.ID == l.hub.entry.ID || now.Before(l.switchAfter):
 		l.switchAt = time.Time{}
 	case l.switchAt.IsZero():
 		l.switchAt = now.Add(time.Duration(l.random.Int64N(int64(switchJitter))))
 	case !now.Before(l.switchAt):
-		l.switchAt = time.Time{}
+		l.switchAt, l.switchAfter = time.Time{}, now.Add(switchInterval)
 		if inContact, _ := l.ask(ctx, []kctport.EntryRecord{r}); inContact == 0 {
 			l.changeHub(ctx, &r)
-		} else {
-			l.recordFailure(r.ID)
 		}
 	}
 }
--- a/core/kctfleet/turn.go
+++ b/core/kctfleet/turn.go
@@ -41,21 +41,22 @@
 	return entries
 }
 
-// recordFailure records that an entry was found not to be a source, and forgets older failures.
+// recordFailure records that an entry did not answer, or that its feed ended, and forgets older failures.
 func (l *sourceLoop) recordFailure(id kctport.InstanceID) {
 	now := l.timer.Now()
-	maps.DeleteFunc(l.failures, func(_ kctport.InstanceID, at time.Time) bool { return now.Sub(at) >= hubRetention })
+	maps.DeleteFunc(l.failures, func(_ kctport.InstanceID, at time.Time) bool { return now.Sub(at) >= failureRetention })
 	l.failures[id] = now
 }
 
+// failedWithin reports whether an entry did not answer within the last time.
+func (l *sourceLoop) failedWithin(e kctport.EntryRecord, last time.Duration) bool {
+	at, ok := l.failures[e.ID]
+	return ok && l.timer.Now().Sub(at) < last
+}
+
 func (l *sourceLoop) failedRank(e kctport.EntryRecord) int {
-	if l.failedRecently(e) {
+	if l.failedWithin(e, failureRetention) {
 		return 1
 	}
 	return 0
 }
-
-func (l *sourceLoop) failedRecently(e kctport.EntryRecord) bool {
-	at, ok := l.failures[e.ID]
-	return ok && l.timer.Now().Sub(at) < hubRetention
-}
--- a/core/kctfleet/watch.go
+++ b/core/kctfleet/watch.go
@@ -36,7 +36,6 @@
 // holdZone claims the zone when it has no reader, renews the lease, and returns the claim when this entry should no longer watch the store.
 func (l *sourceLoop) holdZone(ctx context.Context, held *claim) *claim {
 	started := l.timer.Now()
-	ticks := l.timer.Subscribe(ctx, sourceCheckInterval)
 	for ctx.Err() == nil {
 		now := l.timer.Now()
 		if _, taken := l.zoneReader(*l.readers.Load()); taken && held != nil && l.contact.Load().ownAnswers {
@@ -63,11 +62,7 @@
 		if l.hub != nil && (l.hub.hasEnded() || l.contact.Load().ownAnswers) {
 			l.dropHub()
 		}
-		select {
-		case <-ctx.Done():
-		case <-ticks:
-		case <-l.contactChanged:
-		}
+		l.wait(ctx)
 	}
 	return held
 }
