--- a/core/kctfleet/source_test.go
+++ b/core/kctfleet/source_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,11 @@
 
 var faultSeeds = flag.Int("faults.seeds", 12, "number of seeds of the random faults")
 
+// faultRegressions holds seeds that failed, with the causes.
+var faultRegressions = map[uint64]string{
+	40: "each round of questions waited for a reader that did not answer, so that the only entry with the store watched it too late",
+}
+
 // stable is the time without a disruption of its own after which an entry must keep the bounds (the users' stable-window-ms).
 const stable = 4 * time.Second
 
@@ -70,7 +77,12 @@
 //
 // More seeds: go test ./core/kctfleet -run TestContactAfterFaults -faults.seeds 400
 func TestContactAfterFaults(t *testing.T) {
+	seeds := slices.Collect(maps.Keys(faultRegressions))
 	for seed := range uint64(*faultSeeds) {
+		seeds = append(seeds, seed)
+	}
+	slices.Sort(seeds)
+	for _, seed := range slices.Compact(seeds) {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { faults(t, seed) })
 		})
