--- a/core/kctfleet/source_test.go
+++ b/core/kctfleet/source_test.go
@@ -102,7 +102,7 @@
 	var undos []undo
 	later := func(d time.Duration, do func()) { undos = append(undos, undo{time.Now().Add(d), do}) }
 	upTo := func(d time.Duration) time.Duration { return time.Duration(f.random.Int64N(int64(d))) }
-	isolatedAt, copiedAt := time.Now(), time.Now()
+	copiedAt := time.Now()
 	for time.Since(began) < length && f.violations == 0 {
 		f.step()
 		for i := 0; i < len(undos); i++ {
@@ -129,10 +129,6 @@
 			e.link.setMode(linkRefused + linkMode(f.random.IntN(2)))
 			later(upTo(6*time.Second), func() { e.link.setMode(linkPass) })
 		case 6:
-			if time.Since(isolatedAt) < stable {
-				break
-			}
-			isolatedAt = time.Now()
 			f.isolate(e, true)
 			later(upTo(6*time.Second), func() { f.isolate(e, false) })
 		case 7, 8:
