--- a/feed.go
+++ b/feed.go
@@ -53,10 +53,10 @@
 	Full    bool
 	Changes []RegistryChange
 	Members []FeedMember
-	// Store is the contact with the store at the time Made, which is that of the sender's clock; it is zero at the subscriber, where the ages are those
-	// on arrival.
+	// Store is the sender's contact with the store, with the ages at the time Made; at the subscriber the ages are those on arrival.
 	Store StoreContact
-	Made  time.Time
+	// Made is when the sender made the update; zero at the subscriber.
+	Made time.Time
 }
 
 // Feed is the port to other entries, which pass on what the store holds.
