--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -121,7 +121,8 @@
 	c := &Controller{
 		self: self, registry: registry, feed: feed, timer: timer, log: log, inbox: make(chan update), stopped: make(chan struct{}),
 		load: func() float64 { return 0 }, random: rand.New(rand.NewPCG(1, 1)), subscribers: map[*subscription]bool{},
-		contactChanged: make(chan struct{}, 1), checker: noChecker{}, watchWait: maxWatchWait, heartbeat: defaultHeartbeat, observations: make(chan kctport.Observation, observationBuffer),
+		contactChanged: make(chan struct{}, 1), checker: noChecker{}, watchWait: maxWatchWait, heartbeat: defaultHeartbeat,
+		observations: make(chan kctport.Observation, observationBuffer),
 	}
 	c.fleet.Store(&kctport.Fleet{LimitShares: 1, ActiveShares: 1})
 	c.readers.Store(&[]kctport.EntryRecord{})
--- a/core/kctfleet/source.go
+++ b/core/kctfleet/source.go
@@ -123,6 +123,7 @@
 // seek looks for contact with the store: first another entry that has it, then the store itself, when it is this entry's turn.
 func (l *sourceLoop) seek(ctx context.Context, now time.Time) {
 	readers := *l.readers.Load()
+	// Without an entry to follow there is no state to stay with, so that the readers are asked more often.
 	if now.Sub(l.lastScan) >= scanInterval || l.hub == nil && len(readers) > 0 && now.Sub(l.lastScan) >= lostCheckInterval {
 		l.lastScan = now
 		if l.changeHub(ctx, l.scan(ctx, readers)) {
--- a/core/kctforward/engine.go
+++ b/core/kctforward/engine.go
@@ -82,7 +82,8 @@
 // NewEngine returns an engine that sends attempts through the exchanger and reports each request's trace to the observer.
 func NewEngine(fleets kctport.Fleets, timer kctport.Timer, exchanger kctport.Exchanger, p Policies, observer Observer, opts ...Option) *Engine {
 	e := &Engine{
-		fleets: fleets, timer: timer, exchanger: exchanger, observer: observer, attemptObserver: noopObserver{}, applyDeadline: defaultApplyDeadline, draining: make(chan struct{}),
+		fleets: fleets, timer: timer, exchanger: exchanger, observer: observer, attemptObserver: noopObserver{},
+		applyDeadline: defaultApplyDeadline, draining: make(chan struct{}),
 		balancer: p.Balancer, budget: p.Budget, delays: p.Delays, splitter: p.Splitter,
 	}
 	for _, o := range opts {
