--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,7 +16,7 @@
 
 // cases holds the cases by name; each plays its disruption only with trouble, and reports whether the rule was broken.
 var cases = map[string]func(d *deployment, trouble bool) (bool, error){
-	"memory": memoryCase, "storm": stormCase, "poison": poisonCase, "rollout": rolloutCase,
+	"memory": memoryCase, "storm": stormCase, "poison": poisonCase, "rollout": rolloutCase, "hang": hangCase,
 }
 
 func main() {
