--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -53,6 +53,10 @@
 	contactChanged chan struct{}
 	contactLosses  atomic.Uint64
 	checker        kctport.Checker
+	suspicions     kctport.SuspicionMemory
+	// reports are suspicions of this entry's traffic on their way to the control goroutine.
+	reports        chan []kctport.Suspicion
+	droppedReports atomic.Uint64
 
 	onPublish []func(*kctport.Fleet)
 	// observations are attempts at endpoints of services with a running move, on their way to the control goroutine.
@@ -60,7 +64,9 @@
 	// pendingSaves counts the writes of moves in progress.
 	pendingSaves sync.WaitGroup
 	// The fields below belong to the control goroutine.
-	subscribers   map[*subscription]bool
+	subscribers map[*subscription]bool
+	// links are the feeds that this entry follows.
+	links         map[*link]bool
 	nextHeartbeat time.Time
 	// sentWatcher and sentComplete are what subscribers were last told of the contact with the store.
 	sentWatcher  kctport.InstanceID
@@ -121,7 +127,8 @@
 func New(self kctport.EntryRecord, registry kctport.Registry, feed kctport.Feed, timer kctport.Timer, log Logger, opts ...Option) *Controller {
 	c := &Controller{
 		self: self, registry: registry, feed: feed, timer: timer, log: log, inbox: make(chan update), stopped: make(chan struct{}),
-		load: func() float64 { return 0 }, random: rand.New(rand.NewPCG(1, 1)), subscribers: map[*subscription]bool{},
+		load: func() float64 { return 0 }, random: rand.New(rand.NewPCG(1, 1)), subscribers: map[*subscription]bool{}, links: map[*link]bool{},
+		suspicions: noSuspicions{}, reports: make(chan []kctport.Suspicion, reportBuffer),
 		contactChanged: make(chan struct{}, 1), checker: noChecker{}, watchWait: maxWatchWait, heartbeat: defaultHeartbeat,
 		observations: make(chan kctport.Observation, observationBuffer),
 	}
@@ -186,6 +193,8 @@
 			return
 		case u := <-c.inbox:
 			events = c.applyUpdate(s, u)
+		case suspicions := <-c.reports:
+			c.passOn(s, nil, suspicions)
 		case <-ticks:
 			events = s.updateSelf(c.Self())
 			c.advanceMoves(ctx, s, c.timer.Now())
--- a/core/kctfleet/controller_test.go
+++ b/core/kctfleet/controller_test.go
@@ -151,12 +151,14 @@
 	sources map[uint16]*Controller
 }
 
-func (f *linkedFeeds) Follow(ctx context.Context, reader kctport.EntryRecord, self func() kctport.EntryRecord, apply func(kctport.FeedUpdate)) error {
+func (f *linkedFeeds) Follow(ctx context.Context, reader kctport.EntryRecord, subscriber kctport.FeedSubscriber, apply func(kctport.FeedUpdate)) error {
 	source := f.sources[reader.Peer.Port()]
 	if source == nil {
 		return kctport.ErrUnavailable
 	}
-	u := source.Subscribe(ctx, self())
+	first := subscriber.Heartbeat()
+	u := source.Subscribe(ctx, first.Entry)
+	u.Heartbeat(ctx, first)
 	defer u.End(ctx)
 	for {
 		select {
@@ -164,6 +166,8 @@
 			return ctx.Err()
 		case <-source.stopped:
 			return errors.New("reader ended")
+		case <-subscriber.Pending():
+			u.Heartbeat(ctx, subscriber.Heartbeat())
 		case update, ok := <-u.Updates():
 			if !ok {
 				return errors.New("too slow")
--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	kctport "kingcupturn"
@@ -32,7 +33,7 @@
 	u := &subscription{controller: c, updates: make(chan kctport.FeedUpdate, 1), entry: entry}
 	registered := c.update(ctx, func(s *state, now time.Time) []event {
 		c.subscribers[u] = true
-		u.enqueue(u.firstUpdate(s, now))
+		u.enqueue(c.firstUpdate(s, u, now))
 		s.members.set(kctport.FeedMember{Origin: s.self.ID, Entry: entry})
 		return []event{{message: "entry subscribed", key: string(entry.ID), detail: fmt.Sprintf("this entry watches the store: %t", s.contact.own.watching)}}
 	})
@@ -47,9 +48,11 @@
 	return u.updates
 }
 
-// Heartbeat stores the subscriber's current record.
-func (u *subscription) Heartbeat(ctx context.Context, entry kctport.EntryRecord) {
+// Heartbeat stores the subscriber's current record and takes its suspicions.
+func (u *subscription) Heartbeat(ctx context.Context, heartbeat kctport.FeedHeartbeat) {
+	entry := heartbeat.Entry
 	u.controller.update(ctx, func(s *state, _ time.Time) []event {
+		u.controller.mergeSuspicions(s, nil, heartbeat.Suspicions)
 		if u.ended || !s.members.set(kctport.FeedMember{Origin: s.self.ID, Entry: entry}) {
 			return nil
 		}
@@ -111,12 +114,14 @@
 }
 
 // firstUpdate returns a full update, or only the contact with the store while this entry has no state to send.
-func (u *subscription) firstUpdate(s *state, now time.Time) kctport.FeedUpdate {
+func (c *Controller) firstUpdate(s *state, u *subscription, now time.Time) kctport.FeedUpdate {
 	if s.contact.complete.IsZero() {
-		return kctport.FeedUpdate{Store: s.contact.report(now), Made: now}
+		return kctport.FeedUpdate{Store: s.contact.report(now), Made: now, Suspicions: c.suspicions.Suspicions()}
 	}
 	u.sentFull = true
-	return s.fullState(now)
+	f := s.fullState(now)
+	f.Suspicions = c.suspicions.Suspicions()
+	return f
 }
 
 // fullState returns all records and members.
@@ -133,21 +138,21 @@
 
 // broadcast sends subscribers what has changed, or a heartbeat when one is due.
 func (c *Controller) broadcast(s *state, now time.Time) {
-	recordChanges, memberChanges := s.outbox, s.members.outbox
-	s.outbox, s.members.outbox = nil, nil
+	recordChanges, memberChanges, suspicions := s.outbox, s.members.outbox, s.suspicionOutbox
+	s.outbox, s.members.outbox, s.suspicionOutbox = nil, nil, nil
 	contact := s.contact.report(now)
 	// A watch that returns makes the state of all that depend on it younger, so that it isn't left to the next heartbeat.
 	isNews := contact.Watcher != c.sentWatcher || contact.Watcher != "" && now.Add(-contact.Age).Sub(c.sentComplete) > ageTolerance
 	due := !now.Before(c.nextHeartbeat) || isNews
-	if len(recordChanges) == 0 && len(memberChanges) == 0 && !due {
+	if len(recordChanges) == 0 && len(memberChanges) == 0 && len(suspicions) == 0 && !due {
 		return
 	}
 	c.nextHeartbeat, c.sentWatcher, c.sentComplete = now.Add(heartbeatInterval), contact.Watcher, now.Add(-contact.Age)
-	f := kctport.FeedUpdate{Changes: recordChanges, Members: memberChanges, Store: contact, Made: now}
+	f := kctport.FeedUpdate{Changes: recordChanges, Members: memberChanges, Suspicions: suspicions, Store: contact, Made: now}
 	for u := range c.subscribers {
 		g := f
 		if !u.sentFull {
-			g = u.firstUpdate(s, now)
+			g = c.firstUpdate(s, u, now)
 		}
 		u.enqueue(g)
 	}
@@ -180,6 +185,7 @@
 	}
 	f := next
 	f.Full, f.Changes, f.Members = old.Full, nil, nil
+	f.Suspicions = lastSuspicions(slices.Concat(old.Suspicions, next.Suspicions))
 	for _, c := range old.Changes {
 		if !supersededKeys[c.Key] {
 			f.Changes = append(f.Changes, c)
--- a/core/kctfleet/link.go
+++ b/core/kctfleet/link.go
@@ -12,6 +12,7 @@
 // link is a feed that this entry follows; its goroutine passes the updates to the control goroutine.
 type link struct {
 	entry  kctport.EntryRecord
+	uplink *uplink
 	cancel context.CancelFunc
 	// accept selects the origins whose members the feed reports.
 	accept func(origin kctport.InstanceID) bool
@@ -38,13 +39,17 @@
 // open follows the feed of a link until the context ends, the link is closed or the feed fails.
 func (c *Controller) open(ctx context.Context, l *link) {
 	ctx, l.cancel = context.WithCancel(ctx)
+	l.uplink = newUplink(c.Self)
 	l.updated, l.done = make(chan struct{}), make(chan struct{})
 	var once sync.Once
 	go func() {
 		defer close(l.done)
 		defer l.cancel()
-		err := c.feed.Follow(ctx, l.entry, c.Self, func(f kctport.FeedUpdate) {
-			c.update(ctx, func(s *state, now time.Time) []event { return s.applyFeedUpdate(now, l, f) })
+		c.update(ctx, c.openLink(l))
+		err := c.feed.Follow(ctx, l.entry, l.uplink, func(f kctport.FeedUpdate) {
+			c.update(ctx, func(s *state, now time.Time) []event {
+				return append(s.applyFeedUpdate(now, l, f), c.mergeSuspicions(s, l, f.Suspicions)...)
+			})
 			once.Do(func() {
 				c.log.LogChange("following entry", string(l.entry.ID), describeContact(f.Store), 0)
 				close(l.updated)
@@ -54,7 +59,10 @@
 		if ctx.Err() == nil {
 			detail = err.Error()
 		}
-		c.update(context.WithoutCancel(ctx), func(s *state, now time.Time) []event { return s.endLink(now, l, detail) })
+		c.update(context.WithoutCancel(ctx), func(s *state, now time.Time) []event {
+			delete(c.links, l)
+			return s.endLink(now, l, detail)
+		})
 	}()
 }
 
--- a/core/kctfleet/sim_test.go
+++ b/core/kctfleet/sim_test.go
@@ -394,12 +394,14 @@
 	return c.Contact(ctx), nil
 }
 
-func (p *simPort) Follow(ctx context.Context, entry kctport.EntryRecord, self func() kctport.EntryRecord, handle func(kctport.FeedUpdate)) error {
+func (p *simPort) Follow(ctx context.Context, entry kctport.EntryRecord, subscriber kctport.FeedSubscriber, handle func(kctport.FeedUpdate)) error {
 	source, err := p.dial(ctx, entry)
 	if err != nil {
 		return err
 	}
-	u := source.Subscribe(ctx, self())
+	first := subscriber.Heartbeat()
+	u := source.Subscribe(ctx, first.Entry)
+	u.Heartbeat(ctx, first)
 	defer u.End(context.WithoutCancel(ctx))
 	silence := time.NewTimer(feedTimeout)
 	defer silence.Stop()
@@ -410,6 +412,10 @@
 			return ctx.Err()
 		case <-source.stopped:
 			return errors.New("entry ended")
+		case <-subscriber.Pending():
+			if _, silent := p.reach(entry.Peer.Port()); !silent {
+				u.Heartbeat(ctx, subscriber.Heartbeat())
+			}
 		case <-silence.C:
 			return errors.New("feed is silent")
 		case f, ok := <-updates:
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -31,8 +31,9 @@
 	// source is the entry from which the last changes came, this entry for its own calls.
 	source  kctport.InstanceID
 	members members
-	// outbox holds changes not yet sent to subscribers.
-	outbox []kctport.RegistryChange
+	// outbox holds changes not yet sent to subscribers, and suspicionOutbox suspicions.
+	outbox          []kctport.RegistryChange
+	suspicionOutbox []kctport.Suspicion
 	// lastPresent is when each entry was last known to be a member.
 	lastPresent map[kctport.InstanceID]time.Time
 	// assumedShares is the least number of entries assumed to share fleet-wide limits before assumedUntil, when some may not be known yet.
--- a/core/kctforward/admit.go
+++ b/core/kctforward/admit.go
@@ -93,6 +93,9 @@
 // shard returns what an attempt at a part can be expected to take.
 func (c *call) shard(now time.Time, fleet *kctport.Fleet, p *part) kctadmission.Shard {
 	b := c.engine.balancer
+	if p.quarantine > 0 {
+		return kctadmission.Shard{Opens: p.quarantine}
+	}
 	if len(fleet.Endpoints[p.service]) == 0 {
 		return kctadmission.Shard{Opens: absentDelay}
 	}
@@ -151,7 +154,10 @@
 
 // leftOutDetail says why the answer lacks the part, empty when it did not arrive in time.
 func (p *part) leftOutDetail() string {
-	if p.leftOut {
+	switch {
+	case p.quarantine > 0:
+		return reasonQuarantined
+	case p.leftOut:
 		return "its endpoints take few requests"
 	}
 	return ""
--- a/core/kctforward/call.go
+++ b/core/kctforward/call.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	kctport "kingcupturn"
 	"kingcupturn/core/kctbalance"
+	"kingcupturn/core/kctsuspect"
 )
 
 // call is a request in progress. Only the goroutine of its caller uses it; the outcomes of attempts come through results.
@@ -37,6 +39,9 @@
 	attempts context.Context
 	cancel   context.CancelFunc
 	refs     atomic.Int32
+	// hash is what identifies the request when it comes again; it is computed when it is first needed.
+	hash     kctsuspect.RequestHash
+	hashOnce sync.Once
 }
 
 // part is the work of one service for a request.
@@ -57,6 +62,8 @@
 	nextAt time.Time
 	// leftOut is set while the request does without the part, since the endpoints of its shard take few requests.
 	leftOut bool
+	// quarantine is the time for which the part is refused since the request crashes endpoints, 0 when it is not.
+	quarantine time.Duration
 }
 
 // lastTried returns the endpoint of the latest attempt, empty without one.
@@ -111,7 +118,11 @@
 	if reply, ok := c.refuseUncoverable(); ok {
 		return reply
 	}
-	if reply, ok := c.admit(c.engine.timer.Now()); ok {
+	now := c.engine.timer.Now()
+	if reply, ok := c.refuseQuarantined(now); ok {
+		return reply
+	}
+	if reply, ok := c.admit(now); ok {
 		return reply
 	}
 	for _, p := range c.parts {
@@ -275,6 +286,10 @@
 // launch starts an attempt at the part; when no endpoint is usable, it schedules another selection and returns false.
 func (c *call) launch(p *part) bool {
 	e := c.engine
+	if c.isRepeatRefused(p) {
+		p.nextAt = time.Time{}
+		return false
+	}
 	now := e.timer.Now()
 	criteria := kctbalance.Criteria{Service: p.service, Route: c.route.Name, Tried: p.tried}
 	if len(p.tried) == 0 {
@@ -347,14 +362,16 @@
 // send passes an attempt to the exchange; the attempts' context bounds its duration.
 func (c *call) send(p *part, a *kctbalance.Attempt, repeat bool) {
 	var sent time.Time
+	var mark kctsuspect.Mark
 	c.exchange.Send(&a.Endpoint.EndpointRecord, kctport.ExchangeOptions{
 		Deadline: c.deadline, Connections: a.Connections, NonIdempotent: !c.route.Idempotent, Gathered: len(c.route.Gather) > 0, Repeat: repeat,
 		Usable:     func() bool { return c.isUsable(p, &a.Endpoint.EndpointRecord) },
-		BeforeSend: func() { sent = c.engine.timer.Now() },
+		BeforeSend: func() { sent, mark = c.engine.timer.Now(), c.engine.suspects.Mark() },
 	}, func(response kctport.Response, err error) {
 		defer c.release()
 		r := result{part: p, attempt: a, response: response, err: err}
 		c.recordOutcome(a, sent, &r)
+		c.recordEvidence(&r, mark, c.engine.timer.Now().Sub(sent))
 		c.results.put(r)
 	})
 }
--- a/core/kctforward/engine.go
+++ b/core/kctforward/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"kingcupturn/core/kctadmission"
 	"kingcupturn/core/kctbalance"
 	"kingcupturn/core/kctroutetable"
+	"kingcupturn/core/kctsuspect"
 )
 
 const (
@@ -51,6 +53,7 @@
 	splitter        *kctroutetable.Splitter
 	observer        Observer
 	attemptObserver kctport.Observer
+	suspects        *kctsuspect.Detector
 	applyDeadline   time.Duration
 	// draining is closed once this entry stops, and stopsAt is then the time by which all requests must be answered.
 	draining  chan struct{}
@@ -88,6 +91,7 @@
 	e := &Engine{
 		fleets: fleets, timer: timer, exchanger: exchanger, observer: observer, attemptObserver: noopObserver{},
 		applyDeadline: defaultApplyDeadline, draining: make(chan struct{}),
+		suspects: kctsuspect.NewDetector(kctsuspect.NewMemory(timer), noProber{}),
 		repeats:  kctadmission.NewRepeats(),
 		balancer: p.Balancer, budget: p.Budget, delays: p.Delays, splitter: p.Splitter,
 	}
@@ -105,6 +109,11 @@
 	return func(e *Engine) { e.attemptObserver = o }
 }
 
+// WithSuspects sets what finds and refuses requests that crash endpoints.
+func WithSuspects(d *kctsuspect.Detector) Option {
+	return func(e *Engine) { e.suspects = d }
+}
+
 // WithApplyDeadline sets the time within which a change of the rules must be in force.
 func WithApplyDeadline(deadline time.Duration) Option {
 	return func(e *Engine) { e.applyDeadline = deadline }
@@ -114,6 +123,12 @@
 
 func (noopObserver) Observe(kctport.Observation) {}
 
+type noProber struct{}
+
+func (noProber) Probe(context.Context, netip.AddrPort) kctport.Liveness {
+	return kctport.LivenessUnknown
+}
+
 // Forward answers a request; a reply with status 503 or 429 means that no endpoint has run it or will.
 func (e *Engine) Forward(ctx context.Context, message *kctport.Message) kctport.Reply {
 	fleet := e.fleets.Fleet()
--- a/core/kctsuspect/attempt.go
+++ b/core/kctsuspect/attempt.go
@@ -24,9 +24,15 @@
 	crashed time.Time
 }
 
+// crashWindow is the time after a crash in which further resets at the endpoint, such as those on stale connections, belong to the same crash; no endpoint
+// restarts faster.
+const crashWindow = 100 * time.Millisecond
+
 // attempt is one request in flight; counted is set when a crash that it was part of has been recorded.
 type attempt struct {
 	fingerprint kctport.Fingerprint
+	sent        Mark
+	start       time.Time
 	counted     bool
 }
 
@@ -35,6 +41,7 @@
 	if err := l.Check(fingerprint); err != nil {
 		return err
 	}
+	l.Memory.Admit(fingerprint)
 	s := l.stripe(endpoint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -50,7 +57,7 @@
 			}
 		}
 	}
-	e.attempts = append(e.attempts, attempt{fingerprint: fingerprint})
+	e.attempts = append(e.attempts, attempt{fingerprint: fingerprint, sent: l.Mark(), start: l.timer.Now()})
 	return nil
 }
 
@@ -59,16 +66,17 @@
 	now := l.timer.Now()
 	crashed := errors.Is(err, kctport.ErrReset) && !errors.Is(err, kctport.ErrNotRun)
 	if bodies := l.remove(now, endpoint, fingerprint, crashed); len(bodies) > 0 {
-		return l.attribute(now, bodies)
+		// The owner of an endpoint sees all of its crashes, so that their time tells them apart.
+		return l.RecordCrash(Incarnation{endpoint, now}, 0, bodies)
 	}
 	if err == nil {
-		return l.clear(now, fingerprint)
+		return l.RecordSuccess(fingerprint)
 	}
 	return nil
 }
 
 // remove removes an attempt and, if it ended with a crash that is not recorded yet, returns the bodies that were in flight.
-func (l *List) remove(now time.Time, endpoint kctport.InstanceID, fingerprint kctport.Fingerprint, crashed bool) []kctport.Fingerprint {
+func (l *List) remove(now time.Time, endpoint kctport.InstanceID, fingerprint kctport.Fingerprint, crashed bool) []Involved {
 	s := l.stripe(endpoint)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -80,9 +88,9 @@
 	if i < 0 {
 		return nil
 	}
-	var bodies []kctport.Fingerprint
+	var bodies []Involved
 	if crashed && !e.attempts[i].counted && now.Sub(e.crashed) >= crashWindow {
-		bodies = e.recordCrash(now)
+		bodies = e.recordCrash(now, l.Mark())
 	}
 	e.attempts = slices.Delete(e.attempts, i, i+1)
 	if len(e.attempts) == 0 && now.Sub(e.crashed) >= crashWindow {
@@ -107,51 +115,16 @@
 }
 
 // recordCrash marks all attempts in flight as counted, so that their own resets are not recorded as further crashes, and returns the bodies of those that were not counted before.
-func (e *endpointState) recordCrash(now time.Time) []kctport.Fingerprint {
+func (e *endpointState) recordCrash(now time.Time, mark Mark) []Involved {
 	e.crashed = now
-	var bodies []kctport.Fingerprint
+	var bodies []Involved
 	for i := range e.attempts {
 		a := &e.attempts[i]
-		if !a.counted && !slices.Contains(bodies, a.fingerprint) {
-			bodies = append(bodies, a.fingerprint)
+		known := slices.IndexFunc(bodies, func(b Involved) bool { return b.Fingerprint == a.fingerprint })
+		if !a.counted && known < 0 {
+			bodies = append(bodies, Involved{Fingerprint: a.fingerprint, Sent: a.sent, Cut: mark, InFlight: now.Sub(a.start)})
 		}
 		a.counted = true
 	}
 	return bodies
 }
-
-// attribute processes one crash: it is attributed to the suspect body if there is exactly one; the other bodies become or stay suspect.
-func (l *List) attribute(now time.Time, bodies []kctport.Fingerprint) []kctport.Suspicion {
-	var out []kctport.Suspicion
-	l.update(now, func(m map[kctport.Fingerprint]suspect) {
-		var suspects []kctport.Fingerprint
-		for _, f := range bodies {
-			if s, ok := m[f]; ok && now.Sub(s.updated) < SuspicionLifetime {
-				suspects = append(suspects, f)
-			}
-		}
-		for _, f := range bodies {
-			s, ok := m[f]
-			crashes := s.crashes
-			// Several suspects run together only if a suspicion arrived during their attempts; the crash could then be attributed to the wrong one.
-			if ok && len(suspects) == 1 && suspects[0] == f {
-				crashes++
-			}
-			if !now.Before(s.refusedUntil) {
-				m[f] = l.newSuspect(now, crashes)
-			}
-			out = append(out, kctport.Suspicion{Fingerprint: f, AttributedCrashes: crashes})
-		}
-	})
-	return out
-}
-
-// clear removes the suspicion of a body that was answered without an error.
-func (l *List) clear(now time.Time, fingerprint kctport.Fingerprint) []kctport.Suspicion {
-	s, ok := (*l.suspects.Load())[fingerprint]
-	if !ok || now.Before(s.refusedUntil) {
-		return nil
-	}
-	l.update(now, func(m map[kctport.Fingerprint]suspect) { delete(m, fingerprint) })
-	return []kctport.Suspicion{{Fingerprint: fingerprint, Cleared: true}}
-}
--- a/core/kctsuspect/bench_test.go
+++ b/core/kctsuspect/bench_test.go
@@ -12,7 +12,7 @@
 // BenchmarkAttempt measures the cost of Admit and Finish for each attempt, from parallel goroutines on 16 endpoints.
 func BenchmarkAttempt(b *testing.B) {
 	l := NewList(&clock{now: time.Unix(1000, 0)})
-	l.Merge([]kctport.Suspicion{{Fingerprint: 1}})
+	l.Merge([]kctport.Suspicion{{Fingerprint: 1, Crashes: 1}})
 	var worker atomic.Uint64
 	b.ReportAllocs()
 	b.RunParallel(func(p *testing.PB) {
--- a/core/kctsuspect/list_test.go
+++ b/core/kctsuspect/list_test.go
@@ -234,8 +234,8 @@
 		t.Helper()
 		for _, b := range bodies {
 			for _, s := range l.Finish("e", b, kctport.ErrReset) {
-				if s.AttributedCrashes > 0 {
-					t.Errorf("body %d has %d attributed crashes, want 0", s.Fingerprint, s.AttributedCrashes)
+				if s.Crashes > 1 {
+					t.Errorf("body %d was in %d crashes, one after the other, want 1", s.Fingerprint, s.Crashes)
 				}
 			}
 			c.now = c.now.Add(pause)
@@ -250,7 +250,7 @@
 	reset(crashWindow/4, 3)
 	c.now = c.now.Add(SuspicionLifetime)
 	admit(4, 5)
-	l.Merge([]kctport.Suspicion{{Fingerprint: 4}, {Fingerprint: 5}})
+	l.Merge([]kctport.Suspicion{{Fingerprint: 4, Crashes: 1}, {Fingerprint: 5, Crashes: 1}})
 	reset(0, 4, 5)
 	c.now = c.now.Add(SuspicionLifetime)
 	admit(6)
--- a/feed.go
+++ b/feed.go
@@ -47,12 +47,21 @@
 	Revision StoreRevision
 }
 
+// FeedHeartbeat is what a subscriber tells the entry that it follows.
+type FeedHeartbeat struct {
+	Entry EntryRecord
+	// Suspicions are those since the last heartbeat.
+	Suspicions []Suspicion
+}
+
 // FeedUpdate is an update from an entry to its subscribers.
 type FeedUpdate struct {
 	// Full is set when Changes and Members are complete and replace earlier ones.
 	Full    bool
 	Changes []RegistryChange
 	Members []FeedMember
+	// Suspicions are those since the last update, and all that still count in a full one.
+	Suspicions []Suspicion
 	// Store is the sender's contact with the store, with the ages at the time Made; at the subscriber the ages are those on arrival.
 	Store StoreContact
 	// Made is when the sender made the update; zero at the subscriber.
@@ -61,13 +70,28 @@
 
 // Feed is the port to other entries, which pass on what the store holds.
 type Feed interface {
-	// Follow subscribes to an entry and passes its updates to handle until the feed fails or the context ends; self supplies the record for each
-	// heartbeat.
-	Follow(ctx context.Context, entry EntryRecord, self func() EntryRecord, handle func(FeedUpdate)) error
+	// Follow subscribes to an entry and passes its updates to handle until the feed fails or the context ends.
+	Follow(ctx context.Context, entry EntryRecord, subscriber FeedSubscriber, handle func(FeedUpdate)) error
 	// Contact asks an entry for its contact with the store, without subscribing.
 	Contact(ctx context.Context, entry, self EntryRecord) (StoreContact, error)
 }
 
+// FeedSubscriber supplies what a subscriber tells the entry that it follows.
+type FeedSubscriber interface {
+	// Heartbeat returns the record, and the suspicions that no heartbeat has had.
+	Heartbeat() FeedHeartbeat
+	// Pending has an element when there are suspicions that must not wait for the next heartbeat.
+	Pending() <-chan struct{}
+}
+
+// SuspicionMemory holds the evidence on requests that crash endpoints; it is safe for concurrent use.
+type SuspicionMemory interface {
+	// Merge applies the suspicions of other entries and returns those that were not known.
+	Merge(suspicions []Suspicion) []Suspicion
+	// Suspicions returns all evidence.
+	Suspicions() []Suspicion
+}
+
 // FeedSource serves the subscribers of this entry; the feed adapter calls it.
 type FeedSource interface {
 	// Subscribe registers an entry; its first update is full, unless this entry has no state yet.
@@ -80,7 +104,7 @@
 type FeedSubscription interface {
 	// Updates delivers the changes since the last update that was received; it is closed when the subscription ends.
 	Updates() <-chan FeedUpdate
-	// Heartbeat stores the subscriber's current record.
-	Heartbeat(ctx context.Context, entry EntryRecord)
+	// Heartbeat stores the subscriber's current record and takes its suspicions.
+	Heartbeat(ctx context.Context, heartbeat FeedHeartbeat)
 	End(ctx context.Context)
 }
--- a/io/kctegress/client.go
+++ b/io/kctegress/client.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -66,6 +68,22 @@
 	return x
 }
 
+var _ kctport.Prober = (*Client)(nil)
+
+// Probe opens a connection and closes it again.
+func (c *Client) Probe(ctx context.Context, address netip.AddrPort) kctport.Liveness {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", address.String())
+	switch {
+	case err == nil:
+		conn.Close()
+		return kctport.LivenessUp
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return kctport.LivenessDown
+	}
+	return kctport.LivenessUnknown
+}
+
 // classifyError wraps a connection error in the error of kctport.Exchange; when no byte was sent, the request has not run.
 func classifyError(ctx context.Context, sent bool, err error) error {
 	var netErr net.Error
--- a/io/kctfeed/client.go
+++ b/io/kctfeed/client.go
@@ -29,7 +29,7 @@
 }
 
 // Follow subscribes to an entry and passes its updates to handle until the feed fails or the context ends; the error wraps ErrUnavailable.
-func (c *Client) Follow(ctx context.Context, entry kctport.EntryRecord, self func() kctport.EntryRecord, handle func(kctport.FeedUpdate)) error {
+func (c *Client) Follow(ctx context.Context, entry kctport.EntryRecord, subscriber kctport.FeedSubscriber, handle func(kctport.FeedUpdate)) error {
 	s, err := open(ctx, entry)
 	if err != nil {
 		return err
@@ -42,7 +42,7 @@
 	heartbeatsDone := make(chan struct{})
 	go func() {
 		defer close(heartbeatsDone)
-		c.sendHeartbeats(heartbeats, s, self)
+		c.sendHeartbeats(heartbeats, s, subscriber)
 	}()
 	err = c.receive(s, entry.ID, sent, handle)
 	stop()
@@ -82,11 +82,13 @@
 	return kctmux.Open(conn, streamOptions)
 }
 
-// sendHeartbeats sends this entry's record at each interval until the context ends or a write fails; it then closes the stream, which also ends receive.
-func (c *Client) sendHeartbeats(ctx context.Context, s *kctmux.Stream, self func() kctport.EntryRecord) {
+// sendHeartbeats sends this entry's record at each interval, and when suspicions are pending, until the context ends or a write fails; it then closes the
+// stream, which also ends receive.
+func (c *Client) sendHeartbeats(ctx context.Context, s *kctmux.Stream, subscriber kctport.FeedSubscriber) {
 	ticks := c.timer.Subscribe(ctx, heartbeatInterval)
 	for {
-		if err := s.Send(&kctproto.FeedHello{Self: encodeEntry(self())}); err != nil {
+		h := subscriber.Heartbeat()
+		if err := s.Send(&kctproto.FeedHello{Self: encodeEntry(h.Entry), Suspicions: encodeSuspicions(h.Suspicions)}); err != nil {
 			s.Close()
 			return
 		}
@@ -94,6 +96,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticks:
+		case <-subscriber.Pending():
 		}
 	}
 }
--- a/io/kctfeed/feed_test.go
+++ b/io/kctfeed/feed_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -25,7 +26,7 @@
 type source struct {
 	contact    kctport.StoreContact
 	updates    []kctport.FeedUpdate
-	heartbeats chan kctport.EntryRecord
+	heartbeats chan kctport.FeedHeartbeat
 	ended      chan struct{}
 	last       chan kctport.FeedUpdate
 }
@@ -55,13 +56,31 @@
 
 func (u *subscription) Updates() <-chan kctport.FeedUpdate { return u.out }
 
-func (u *subscription) Heartbeat(_ context.Context, e kctport.EntryRecord) {
+func (u *subscription) Heartbeat(_ context.Context, h kctport.FeedHeartbeat) {
 	select {
-	case u.heartbeats <- e:
+	case u.heartbeats <- h:
 	default:
 	}
 }
 
+// subscriber says the same in each heartbeat, and its suspicions in the first one.
+type subscriber struct {
+	entry      kctport.EntryRecord
+	suspicions []kctport.Suspicion
+}
+
+func newSubscriber(entry kctport.EntryRecord, suspicions ...kctport.Suspicion) *subscriber {
+	return &subscriber{entry, suspicions}
+}
+
+func (s *subscriber) Heartbeat() kctport.FeedHeartbeat {
+	h := kctport.FeedHeartbeat{Entry: s.entry, Suspicions: s.suspicions}
+	s.suspicions = nil
+	return h
+}
+
+func (s *subscriber) Pending() <-chan struct{} { return nil }
+
 func (u *subscription) End(context.Context) {
 	close(u.out)
 	u.ended <- struct{}{}
@@ -86,8 +105,12 @@
 	large := bytes.Repeat([]byte(`{"name":"r-1","host":"some.example","path-prefix":"/a/"},`), 7000)
 	address := freeAddress(t)
 	member := kctport.EntryRecord{ID: "m", Zone: "z", Caller: address, Peer: address, Leaving: true, Load: 0.3, Cores: 0.192}
-	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{
-		{Full: true, Changes: []kctport.RegistryChange{{Key: "large", Value: large, Revision: kctport.StoreRevision{Era: 1, Number: 7}}}, Members: []kctport.FeedMember{{Origin: "r", Entry: member}}},
+	suspicion := kctport.Suspicion{
+		Fingerprint: 1<<63 + 5, Round: 4, Crashes: 2, Endpoint: "e", Started: time.UnixMilli(1_700_000_000_123).UTC(), InFlight: 7 * time.Millisecond, Lifetime: time.Hour,
+	}
+	cleared := kctport.Suspicion{Fingerprint: 9, Round: 1, Cleared: true}
+	s := &source{heartbeats: make(chan kctport.FeedHeartbeat, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{
+		{Full: true, Changes: []kctport.RegistryChange{{Key: "large", Value: large, Revision: kctport.StoreRevision{Era: 1, Number: 7}}}, Members: []kctport.FeedMember{{Origin: "r", Entry: member}}, Suspicions: []kctport.Suspicion{suspicion, cleared}},
 		{Changes: []kctport.RegistryChange{{Key: "small", Value: []byte("v"), Revision: kctport.StoreRevision{Era: 1, Number: 8}}, {Key: "large", Revision: kctport.StoreRevision{Era: 1, Number: 9}, Deleted: true}}, Store: kctport.StoreContact{Watcher: "w", Hops: 1, Age: time.Minute, Silence: time.Second, Steady: time.Hour, Revision: kctport.StoreRevision{Era: 1, Number: 9}}},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -98,8 +121,7 @@
 	var got []kctport.FeedUpdate
 	follow, stop := context.WithCancel(ctx)
 	c := kctfeed.NewClient(kcttimer.New(), decode)
-	self := func() kctport.EntryRecord { return member }
-	if err := c.Follow(follow, kctport.EntryRecord{ID: "r", Peer: address}, self, func(f kctport.FeedUpdate) {
+	if err := c.Follow(follow, kctport.EntryRecord{ID: "r", Peer: address}, newSubscriber(member, suspicion), func(f kctport.FeedUpdate) {
 		if got = append(got, f); len(got) == 2 {
 			stop()
 		}
@@ -113,6 +135,12 @@
 	if f := got[0]; !f.Full || !bytes.Equal(f.Changes[0].Value, large) || f.Changes[0].Revision != (kctport.StoreRevision{Era: 1, Number: 7}) || f.Members[0] != s.updates[0].Members[0] {
 		t.Errorf("first update: full %t, value of %d bytes, members %+v", f.Full, len(f.Changes[0].Value), f.Members)
 	}
+	if want := []kctport.Suspicion{suspicion, cleared}; !slices.Equal(got[0].Suspicions, want) {
+		t.Errorf("suspicions %+v, want %+v", got[0].Suspicions, want)
+	}
+	if h := <-s.heartbeats; h.Entry != member || !slices.Equal(h.Suspicions, []kctport.Suspicion{suspicion}) {
+		t.Errorf("first heartbeat %+v", h)
+	}
 	if f := got[1]; f.Store.Watcher != "w" || f.Store.Hops != 1 || f.Store.Age < time.Minute || f.Store.Age > time.Minute+10*time.Second || f.Store.Silence < time.Second || f.Store.Silence > 11*time.Second ||
 		f.Store.Steady != time.Hour || f.Store.Revision != (kctport.StoreRevision{Era: 1, Number: 9}) || string(f.Changes[0].Value) != "v" || !f.Changes[1].Deleted {
 		t.Errorf("second update %+v", f)
@@ -125,7 +153,7 @@
 // TestSilentFeed guards against a feed that stays open although the subscriber receives nothing on it, and against missing heartbeats.
 func TestSilentFeed(t *testing.T) {
 	address := freeAddress(t)
-	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1)}
+	s := &source{heartbeats: make(chan kctport.FeedHeartbeat, 1), ended: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
 	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
 	if err != nil {
@@ -134,11 +162,11 @@
 	began := time.Now()
 	entry := kctport.EntryRecord{ID: "m", Caller: address, Peer: address}
 	err = kctfeed.NewClient(kcttimer.New(), decode).Follow(ctx, kctport.EntryRecord{ID: "r", Peer: address},
-		func() kctport.EntryRecord { return entry }, func(kctport.FeedUpdate) {})
+		newSubscriber(entry), func(kctport.FeedUpdate) {})
 	if err == nil || time.Since(began) > 5*time.Second {
 		t.Errorf("feed ended after %v with error %v, want an error within 5 s", time.Since(began), err)
 	}
-	if b := <-s.heartbeats; b.ID != "m" {
+	if b := <-s.heartbeats; b.Entry.ID != "m" {
 		t.Errorf("heartbeat %+v", b)
 	}
 	<-s.ended
@@ -151,7 +179,7 @@
 func TestDelayedUpdate(t *testing.T) {
 	const delay = 300 * time.Millisecond
 	address := freeAddress(t)
-	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{{Full: true}, {Store: kctport.StoreContact{Watcher: "w", Age: time.Millisecond}}}}
+	s := &source{heartbeats: make(chan kctport.FeedHeartbeat, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{{Full: true}, {Store: kctport.StoreContact{Watcher: "w", Age: time.Millisecond}}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
 	if err != nil {
@@ -168,7 +196,7 @@
 	var ages []time.Duration
 	entry := kctport.EntryRecord{ID: "m", Caller: address, Peer: address}
 	err = kctfeed.NewClient(kcttimer.New(), decode).Follow(follow, kctport.EntryRecord{ID: "r", Peer: proxied},
-		func() kctport.EntryRecord { return entry }, func(f kctport.FeedUpdate) {
+		newSubscriber(entry), func(f kctport.FeedUpdate) {
 			if ages = append(ages, f.Store.Age); len(ages) == 2 {
 				stop()
 			}
@@ -188,7 +216,7 @@
 func TestQueuedUpdate(t *testing.T) {
 	const wait = 300 * time.Millisecond
 	address := freeAddress(t)
-	s := &source{heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{{Full: true}, {}}}
+	s := &source{heartbeats: make(chan kctport.FeedHeartbeat, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{{Full: true}, {}}}
 	ctx, cancel := context.WithCancel(context.Background())
 	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
 	if err != nil {
@@ -198,7 +226,7 @@
 	var ages []time.Duration
 	entry := kctport.EntryRecord{ID: "m", Caller: address, Peer: address}
 	err = kctfeed.NewClient(kcttimer.New(), decode).Follow(follow, kctport.EntryRecord{ID: "r", Peer: address},
-		func() kctport.EntryRecord { return entry }, func(f kctport.FeedUpdate) {
+		newSubscriber(entry), func(f kctport.FeedUpdate) {
 			switch ages = append(ages, f.Store.Age); len(ages) {
 			case 1:
 				// The second update waits at the sender.
@@ -226,7 +254,7 @@
 	address := freeAddress(t)
 	s := &source{
 		contact:    kctport.StoreContact{Watcher: "w", Hops: 1, Age: time.Minute, Silence: time.Second, Steady: time.Hour, Revision: kctport.StoreRevision{Era: 1, Number: 9}},
-		heartbeats: make(chan kctport.EntryRecord, 1), ended: make(chan struct{}, 1),
+		heartbeats: make(chan kctport.FeedHeartbeat, 1), ended: make(chan struct{}, 1),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
--- a/io/kctfeed/message.go
+++ b/io/kctfeed/message.go
@@ -61,8 +61,30 @@
 	return c
 }
 
+func encodeSuspicions(suspicions []kctport.Suspicion) []*kctproto.FeedSuspicion {
+	var out []*kctproto.FeedSuspicion
+	for _, s := range suspicions {
+		out = append(out, &kctproto.FeedSuspicion{
+			Fingerprint: uint64(s.Fingerprint), Round: s.Round, Crashes: uint32(s.Crashes), Endpoint: string(s.Endpoint), Started: kctproto.Micros(s.Started),
+			Flight: int64(s.InFlight), Lifetime: int64(s.Lifetime), Cleared: s.Cleared,
+		})
+	}
+	return out
+}
+
+func decodeSuspicions(suspicions []*kctproto.FeedSuspicion) []kctport.Suspicion {
+	var out []kctport.Suspicion
+	for _, s := range suspicions {
+		out = append(out, kctport.Suspicion{
+			Fingerprint: kctport.Fingerprint(s.GetFingerprint()), Round: s.GetRound(), Crashes: int(s.GetCrashes()), Endpoint: kctport.InstanceID(s.GetEndpoint()),
+			Started: kctproto.Time(s.GetStarted()), InFlight: time.Duration(s.GetFlight()), Lifetime: time.Duration(s.GetLifetime()), Cleared: s.GetCleared(),
+		})
+	}
+	return out
+}
+
 func decodeUpdate(m *kctproto.FeedUpdate, decode Decoder) (kctport.FeedUpdate, error) {
-	f := kctport.FeedUpdate{Full: m.GetFull()}
+	f := kctport.FeedUpdate{Full: m.GetFull(), Suspicions: decodeSuspicions(m.GetSuspicions())}
 	for _, r := range m.GetRecords() {
 		value := r.GetValue()
 		if r.GetCompressed() {
--- a/io/kctfeed/server.go
+++ b/io/kctfeed/server.go
@@ -43,6 +43,9 @@
 		return err
 	}
 	subscription := s.source.Subscribe(ctx, entry)
+	if suspicions := decodeSuspicions(hello.GetSuspicions()); len(suspicions) > 0 {
+		subscription.Heartbeat(ctx, kctport.FeedHeartbeat{Entry: entry, Suspicions: suspicions})
+	}
 	acknowledged := make(chan struct{}, 1)
 	writeDone := make(chan struct{})
 	go func() {
@@ -85,7 +88,7 @@
 		if err != nil {
 			return err
 		}
-		subscription.Heartbeat(ctx, entry)
+		subscription.Heartbeat(ctx, kctport.FeedHeartbeat{Entry: entry, Suspicions: decodeSuspicions(m.GetSuspicions())})
 	}
 }
 
--- a/io/kctlog/decision.go
+++ b/io/kctlog/decision.go
@@ -9,6 +9,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/core/kctforward"
+	"kingcupturn/core/kctsuspect"
 )
 
 // DecisionLogger logs state changes and answered requests; the zero value is ready to use.
@@ -26,6 +27,24 @@
 	klog.InfoS(message, fields...)
 }
 
+// LogCrash logs an endpoint that crashed and the requests that were in flight, whose crashes are those one after the other.
+func (DecisionLogger) LogCrash(c kctsuspect.Crash) {
+	for _, s := range c.Suspicions {
+		klog.InfoS("endpoint crashed with a request", "endpoint", c.Endpoint.ID, "service", c.Endpoint.Service, "fingerprint", strconv.FormatUint(uint64(s.Fingerprint), 16),
+			"crashes", s.Crashes, "inFlight", s.InFlight.Round(10*time.Microsecond))
+	}
+}
+
+// LogVerdict logs that a request is refused from now on since it crashes endpoints, or no longer.
+func (DecisionLogger) LogVerdict(v kctsuspect.Verdict) {
+	message := "request refused since it crashes endpoints"
+	if v.Refused == 0 {
+		message = "request no longer refused"
+	}
+	klog.InfoS(message, "fingerprint", strconv.FormatUint(uint64(v.Fingerprint), 16), "for", v.Refused.Round(time.Millisecond), "crashes", v.Crashes,
+		"evidence", strconv.FormatFloat(v.Evidence, 'f', 1, 64))
+}
+
 // oneLine joins the lines of a text, such as those of joined errors, into one.
 func oneLine(text string) string {
 	return strings.ReplaceAll(text, "\n", "; ")
--- a/io/kctmetric/serving.go
+++ b/io/kctmetric/serving.go
@@ -7,6 +7,7 @@
 	kctport "kingcupturn"
 	"kingcupturn/core/kctbalance"
 	"kingcupturn/core/kctforward"
+	"kingcupturn/core/kctsuspect"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -65,8 +66,8 @@
 
 // Counters are counters that other packages maintain.
 type Counters struct {
-	// Opened counts connections to endpoints, Dropped log lines, and Losses losses of contact with the store.
-	Opened, Dropped, Losses func() uint64
+	// Opened counts connections to endpoints, Dropped log lines, Losses losses of contact with the store, and DroppedReports reports to other entries.
+	Opened, Dropped, Losses, DroppedReports func() uint64
 }
 
 // RegisterFleet registers gauges of the current fleet state, and counters that other packages maintain.
@@ -113,13 +114,36 @@
 		_, paused := b.Notices(timer.Now())
 		return float64(paused)
 	})
-	counter := func(name, help string, read func() uint64) {
-		opts := prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}
-		m.registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(read()) }))
-	}
+	counter := m.counterFunc
 	counter("connections_opened_total", "Connections opened to endpoints.", counters.Opened)
 	counter("log_lines_dropped_total", "Log lines dropped because the reader of standard output was slow.", counters.Dropped)
 	counter("store_losses_total", "Losses of contact with the store.", counters.Losses)
+	counter("reports_dropped_total", "Reports of this entry's traffic that other entries did not get.", counters.DroppedReports)
+}
+
+// counterFunc registers a counter that another package maintains.
+func (m *Serving) counterFunc(name, help string, read func() uint64) {
+	opts := prometheus.CounterOpts{Namespace: Namespace, Name: name, Help: help}
+	m.registry.MustRegister(prometheus.NewCounterFunc(opts, func() float64 { return float64(read()) }))
+}
+
+// RegisterSuspects registers what is known of requests that crash endpoints.
+func (m *Serving) RegisterSuspects(d *kctsuspect.Detector) {
+	gauge := func(name, help string, read func() int) {
+		opts := prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}
+		m.registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return float64(read()) }))
+	}
+	gauge("suspected_requests", "Requests that were in flight when an endpoint crashed and have not run well since.", func() int {
+		suspects, _ := d.Counts()
+		return suspects
+	})
+	gauge("refused_requests", "Requests that are refused since they crash endpoints, by what they are.", func() int {
+		_, refused := d.Counts()
+		return refused
+	})
+	m.counterFunc("endpoint_crashes_total", "Endpoints that crashed with requests of this entry in flight.", func() uint64 { return d.DetectorCounts().Crashes })
+	m.counterFunc("answers_lost_total", "Attempts without an answer whose endpoints lived or could not be reached.", func() uint64 { return d.DetectorCounts().Lost })
+	m.counterFunc("cuts_dropped_total", "Attempts without an answer whose endpoints were not looked at.", func() uint64 { return d.DetectorCounts().Dropped })
 }
 
 // Answered counts a finished request.
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -23,6 +23,7 @@
 	"kingcupturn/core/kctforward"
 	"kingcupturn/core/kctrelaypath"
 	"kingcupturn/core/kctroutetable"
+	"kingcupturn/core/kctsuspect"
 	"kingcupturn/io/kctegress"
 	"kingcupturn/io/kctfeed"
 	"kingcupturn/io/kctingress"
@@ -57,6 +58,7 @@
 	timer        kctport.Timer
 	control      *kctfleet.Controller
 	egress       *kctegress.Client
+	suspects     *kctsuspect.Detector
 	usage        *kctusage.Meter
 	policies     kctforward.Policies
 	metrics      *kctmetric.Serving
@@ -109,19 +111,22 @@
 		Delays: kctbalance.NewHedgeDelays(), Splitter: kctroutetable.NewSplitter(),
 	}
 	n.usage = kctusage.New(n.timer, settings.Cores, n.handled)
+	memory := kctsuspect.NewMemory(n.timer, kctsuspect.WithSelf(settings.ID), kctsuspect.WithOnVerdict(log.LogVerdict))
 	n.control = kctfleet.New(n.self(), kctadapter.NewClient(settings.Store), kctfeed.NewClient(n.timer, kctadapter.Decode), n.timer, log,
 		kctfleet.WithOnPublish(n.updatePolicies), kctfleet.WithLoad(n.usage.Share), kctfleet.WithSeed(seed),
 		kctfleet.WithZones(settings.Zones), kctfleet.WithApplyDeadline(settings.Apply), kctfleet.WithHeartbeat(settings.Heartbeat),
-		kctfleet.WithChecker(kctcheck.New(n.reportViolation)))
+		kctfleet.WithChecker(kctcheck.New(n.reportViolation)), kctfleet.WithSuspicions(memory))
 	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
+	n.suspects = kctsuspect.NewDetector(memory, n.egress, kctsuspect.WithReport(n.control.Report), kctsuspect.WithOnCrash(log.LogCrash))
 	n.metrics.RegisterFleet(n.control, n.timer, n.policies.Balancer, kctmetric.Counters{
-		Opened: n.egress.Opened, Dropped: n.droppedLines, Losses: n.control.ContactLosses,
+		Opened: n.egress.Opened, Dropped: n.droppedLines, Losses: n.control.ContactLosses, DroppedReports: n.control.DroppedReports,
 	})
+	n.metrics.RegisterSuspects(n.suspects)
 	n.relay = kctrelay.NewClient(n.timer)
 	n.relays = kctrelay.NewServer(settings.Relay, kctrelaypath.NewServer(n.control, n.egress, n.policies.Balancer, n.timer), n.timer)
 	path := kctrelaypath.New(n.self(), n.control, n.egress, n.relay, n.timer)
 	n.engine = kctforward.NewEngine(n.control, n.timer, path, n.policies, observers{log, n.metrics},
-		kctforward.WithAttemptObserver(n.control), kctforward.WithApplyDeadline(settings.Apply))
+		kctforward.WithAttemptObserver(n.control), kctforward.WithSuspects(n.suspects), kctforward.WithApplyDeadline(settings.Apply))
 	n.ingress = kctingress.New(settings.Caller, n.engine, n.control, kctadapter.Dialect{}, n.timer)
 	return n
 }
@@ -170,6 +175,7 @@
 	defer stop()
 	control := n.control.Run(work)
 	egress := n.egress.Run(work)
+	suspects := n.suspects.Run(work)
 	usage := n.usage.Run(work)
 	feeds, err := kctfeed.NewServer(n.settings.Peer, n.control, n.timer).Start(work)
 	if err != nil {
@@ -198,6 +204,7 @@
 	stop()
 	<-control
 	<-egress
+	<-suspects
 	<-usage
 	<-feeds
 	<-relays
--- a/io/kctpeer/convert.go
+++ b/io/kctpeer/convert.go
@@ -126,14 +126,19 @@
 	return kctport.Result{Key: r.GetKey(), Items: convertAll(r.GetItems(), toItem)}
 }
 
-// fromSuspicion converts a suspicion; the attributed crashes are the field charges on the wire.
+// fromSuspicion converts a suspicion; the crashes before this one are the field charges on the wire.
 func fromSuspicion(s kctport.Suspicion) *kctproto.Suspicion {
-	return &kctproto.Suspicion{Fingerprint: uint64(s.Fingerprint), Charges: uint32(s.AttributedCrashes), Cleared: s.Cleared}
+	return &kctproto.Suspicion{
+		Fingerprint: uint64(s.Fingerprint), Charges: uint32(max(1, s.Crashes) - 1), Cleared: s.Cleared, Round: s.Round, Endpoint: string(s.Endpoint),
+		Started: kctproto.Micros(s.Started), Flight: int64(s.InFlight), Lifetime: int64(s.Lifetime),
+	}
 }
 
 func toSuspicion(s *kctproto.Suspicion) kctport.Suspicion {
 	return kctport.Suspicion{
-		Fingerprint: kctport.Fingerprint(s.GetFingerprint()), AttributedCrashes: int(s.GetCharges()), Cleared: s.GetCleared(),
+		Fingerprint: kctport.Fingerprint(s.GetFingerprint()), Crashes: int(s.GetCharges()) + 1, Cleared: s.GetCleared(), Round: s.GetRound(),
+		Endpoint: kctport.InstanceID(s.GetEndpoint()), Started: kctproto.Time(s.GetStarted()), InFlight: time.Duration(s.GetFlight()),
+		Lifetime: time.Duration(s.GetLifetime()),
 	}
 }
 
--- a/io/kctpeer/mesh_test.go
+++ b/io/kctpeer/mesh_test.go
@@ -160,7 +160,7 @@
 		t.Errorf("pull: got %+v, %v", c, err)
 	}
 	err = errors.Join(
-		client.Suspect(ctx, to, []kctport.Suspicion{{Fingerprint: 1, AttributedCrashes: 1}}),
+		client.Suspect(ctx, to, []kctport.Suspicion{{Fingerprint: 1, Crashes: 2}}),
 		client.Report(ctx, to, []kctport.MoveReport{{Move: "m", Requests: 3}}),
 		client.Release(ctx, to, kctport.Release{From: "a", Endpoints: []kctport.InstanceID{"e"}}),
 	)
--- a/member.go
+++ b/member.go
@@ -1,6 +1,9 @@
 package kctport
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // MemberState is a member's liveness in the view of its peers.
 type MemberState int
@@ -48,12 +51,21 @@
 	Changes  []Member
 }
 
-// Suspicion marks a body that may crash endpoints.
+// Suspicion is the evidence of one crash against a request, or the news that the request ran without one.
 type Suspicion struct {
+	// Fingerprint identifies the request by what it is, at one service.
 	Fingerprint Fingerprint
-	// AttributedCrashes counts the crashes for which the body was the only suspect.
-	AttributedCrashes int
-	// Cleared is set when a success has refuted the suspicion.
+	// Round orders the evidence: a run without a crash ends a round, and suspicions of ended rounds no longer count.
+	Round uint64
+	// Crashes is the number of crashes of endpoints that ran the request, one after the other, including this one.
+	Crashes int
+	// Endpoint and Started identify the incarnation that crashed; zero when not known.
+	Endpoint InstanceID
+	Started  time.Time
+	// InFlight is how long the request had been in flight when the endpoint crashed, and Lifetime how long the endpoint had run, zero when not known.
+	InFlight time.Duration
+	Lifetime time.Duration
+	// Cleared is set when the request ran without a crash, which ends the round.
 	Cleared bool
 }
 
--- a/port.go
+++ b/port.go
@@ -146,6 +146,24 @@
 	Done(latency time.Duration, err error)
 }
 
+// Liveness is what a probe says of an endpoint's process.
+type Liveness int
+
+// The kinds of Liveness.
+const (
+	// LivenessUnknown means that nothing answered.
+	LivenessUnknown Liveness = iota
+	// LivenessUp means that a process accepts connections at the address.
+	LivenessUp
+	// LivenessDown means that the machine refuses connections, since no process accepts them.
+	LivenessDown
+)
+
+// Prober finds out whether a process accepts connections.
+type Prober interface {
+	Probe(ctx context.Context, address netip.AddrPort) Liveness
+}
+
 // Checker checks invariants at run time.
 type Checker interface {
 	// Check counts and logs a violation of the named invariant with its evidence when ok is false.
