--- a/io/kctbackend/endless_test.go
+++ b/io/kctbackend/endless_test.go
@@ -20,15 +20,21 @@
 	"kingcupturn/io/kcttimer"
 )
 
-// TestEndlessReply guards against bytes without end in a reply's head or body that take the memory of the process: fifty endpoints send them at once.
+// TestEndlessReply guards against bytes without end in a reply's head or body that take the memory of the process: fifty endpoints send them at once, to
+// requests and to the calls that ask for their status.
 func TestEndlessReply(t *testing.T) {
 	const servers, memoryBound = 50, 96 << 20
 	for name, c := range map[string]struct{ begin, piece string }{
-		"header line":  {"HTTP/1.1 200 OK\r\nX: ", "x"},
-		"header lines": {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
-		"length":       {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x"},
-		"no length":    {"HTTP/1.1 200 OK\r\n\r\n", "x"},
-		"chunks":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
+		"no answer":       {"", "x"},
+		"status line":     {"HTTP/1.1 200 ", "x"},
+		"header line":     {"HTTP/1.1 200 OK\r\nX: ", "x"},
+		"header lines":    {"HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+		"informational":   {"", "HTTP/1.1 103 Early\r\n\r\n"},
+		"length":          {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "x"},
+		"no length":       {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+		"chunks":          {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
+		"chunk extension": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x"},
+		"trailer":         {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			debug.FreeOSMemory()
@@ -43,6 +49,12 @@
 				endpoint := kctport.Endpoint{ID: kctport.InstanceID(rune('A' + i)), Service: "search", Address: serveEndless(t, &connected, c.begin, c.piece)}
 				call := fx.newCall(2 * time.Second)
 				group.Go(func() {
+					if i%2 == 0 {
+						if _, err := client.Status(context.Background(), endpoint); err == nil {
+							t.Error("a status without end was taken")
+						}
+						return
+					}
 					if _, err := client.Call(context.Background(), endpoint, call); err == nil || errors.Is(err, kctport.ErrNotRun) {
 						t.Errorf("error %v, want one that does not say that it has not run", err)
 					}
