Cut error texts of answers and log lines

What callers saw: nothing yet; a slow reader of standard output would have made an entry keep up to 60 MiB of log lines, of 184 on the smallest instances.

Cause: net/http quotes the line of an answer that it can't read, up to a whole head, and the queue of log lines was bounded by their number only.

--- a/io/kctbackend/exchange.go
+++ b/io/kctbackend/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctbody"
 )
 
 // exchange is one HTTP request on one connection, with the state that shows whether any byte of it was written.
@@ -124,12 +125,12 @@
 	case x.replyStarted.Load():
 		kind = kctport.ErrMismatch
 	}
-	return eris.Wrapf(errors.Join(kctport.ErrUnknown, kind), "endpoint %s: %v", x.pool.address, err)
+	return eris.Wrapf(errors.Join(kctport.ErrUnknown, kind), "endpoint %s: %s", x.pool.address, kctbody.ErrorText(err))
 }
 
 // unwrittenError is the error of a request that may be sent on another connection.
 func unwrittenError(err error) error {
-	return eris.Wrap(errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable, errUnwritten), err.Error())
+	return eris.Wrap(errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable, errUnwritten), kctbody.ErrorText(err))
 }
 
 // unsentError classifies a request of which no byte was written.
@@ -141,7 +142,7 @@
 	case ctx.Err() != nil:
 		kind = context.Canceled
 	}
-	return eris.Wrapf(errors.Join(kctport.ErrNotRun, kind), "endpoint %s: %v", x.pool.address, err)
+	return eris.Wrapf(errors.Join(kctport.ErrNotRun, kind), "endpoint %s: %s", x.pool.address, kctbody.ErrorText(err))
 }
 
 // readError classifies a reply whose body could not be read to its end.
@@ -154,7 +155,7 @@
 	case ctx.Err() != nil:
 		kind = context.Canceled
 	}
-	return eris.Wrapf(errors.Join(kctport.ErrUnknown, kind), "endpoint %s: reply: %v", x.pool.address, err)
+	return eris.Wrapf(errors.Join(kctport.ErrUnknown, kind), "endpoint %s: reply: %s", x.pool.address, kctbody.ErrorText(err))
 }
 
 func isTimeout(ctx context.Context, err error) bool {
--- a/io/kctegress/client.go
+++ b/io/kctegress/client.go
@@ -89,13 +89,13 @@
 	var netErr net.Error
 	switch {
 	case !sent:
-		return eris.Wrapf(errNotSent, "write: %v", err)
+		return eris.Wrapf(errNotSent, "write: %s", kctbody.ErrorText(err))
 	case errors.Is(err, kctport.ErrMismatch):
 		return err
 	case ctx.Err() == context.Canceled:
-		return eris.Wrapf(context.Canceled, "cut off: %v", err)
+		return eris.Wrapf(context.Canceled, "cut off: %s", kctbody.ErrorText(err))
 	case errors.As(err, &netErr) && netErr.Timeout():
-		return eris.Wrapf(kctport.ErrTimeout, "no answer: %v", err)
+		return eris.Wrapf(kctport.ErrTimeout, "no answer: %s", kctbody.ErrorText(err))
 	}
-	return eris.Wrapf(kctport.ErrReset, "connection failed: %v", err)
+	return eris.Wrapf(kctport.ErrReset, "connection failed: %s", kctbody.ErrorText(err))
 }
--- a/io/kctlog/writer.go
+++ b/io/kctlog/writer.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// queueLines bounds the lines queued for a slow reader of standard output, about 300 KB.
+	// queueLines bounds the lines queued for a slow reader of standard output, about 300 KB and at most 4 MiB.
 	queueLines = 1024
+	// maxLine is the length in bytes at which a line is cut: it may quote what others sent.
+	maxLine = 4 << 10
+	cutMark = " ...\n"
 )
 
 // Writer is an io.Writer that queues lines for a writing goroutine and drops them while the queue is full.
@@ -26,8 +29,12 @@
 
 // Write queues a copy of one line; it never blocks and never fails.
 func (w *Writer) Write(line []byte) (int, error) {
+	queued := append([]byte(nil), line[:min(len(line), maxLine)]...)
+	if len(line) > maxLine {
+		queued = append(queued[:maxLine-len(cutMark)], cutMark...)
+	}
 	select {
-	case w.lines <- append([]byte(nil), line...):
+	case w.lines <- queued:
 	default:
 		w.dropped.Add(1)
 	}
