Keep entries from telling each other of the same crashes without end

Cause: a suspect keeps 16 crashes, and the one that made room was the one that had arrived first, which the others still held and sent again.

Change: the crash with the lowest number makes room, and one with a number that is not above the lowest is not taken. What was dropped is not taken again, so the exchange ends. The crashes with the highest numbers are those that the verdict and the length of the quarantine depend on.

TestSpreadEnds fails without the change and passes with it.

--- a/core/kctsuspect/memory_test.go
+++ b/core/kctsuspect/memory_test.go
@@ -137,6 +137,49 @@
 	}
 }
 
+// TestSpreadEnds guards against entries that tell each other of the crashes of a request without end, since each holds some that others have dropped.
+func TestSpreadEnds(t *testing.T) {
+	c := &clock{now: time.Unix(1000, 0)}
+	var memories []*Memory
+	for i := range 3 {
+		m := NewMemory(c)
+		for j := range 3 * maxStrikes {
+			m.crash(100*i+j, time.Hour, time.Millisecond, 1)
+			if j%5 == 0 {
+				m.Merge([]kctport.Suspicion{{Fingerprint: 1, Crashes: 1 + j/2, Endpoint: kctport.InstanceID(fmt.Sprint("other", i, j)), Lifetime: time.Hour}})
+			}
+		}
+		memories = append(memories, m)
+	}
+	spread := 0
+	news := make([][]kctport.Suspicion, len(memories))
+	for i, m := range memories {
+		news[i] = m.Suspicions()
+	}
+	for rounds := 0; len(slices.Concat(news...)) > 0; rounds++ {
+		if rounds > 10 {
+			t.Fatalf("%d suspicions are still on their way", len(slices.Concat(news...)))
+		}
+		next := make([][]kctport.Suspicion, len(memories))
+		for from := range memories {
+			for to, m := range memories {
+				if to != from {
+					got := m.Merge(news[from])
+					next[to] = append(next[to], got...)
+					spread += len(got)
+				}
+			}
+		}
+		news = next
+	}
+	t.Logf("%d suspicions were news to an entry", spread)
+	for _, m := range memories {
+		if m.Refused(1) == 0 || len(m.suspects[1].strikes) > maxStrikes {
+			t.Errorf("refused %v, %d crashes kept", m.Refused(1), len(m.suspects[1].strikes))
+		}
+	}
+}
+
 // TestMemoryIsBounded guards against a memory that grows with each request that was in flight at a crash, or that forgets a quarantined one for others.
 func TestMemoryIsBounded(t *testing.T) {
 	c := &clock{now: time.Unix(1000, 0)}
--- a/core/kctsuspect/suspect.go
+++ b/core/kctsuspect/suspect.go
@@ -154,8 +154,8 @@
 	if incarnation.Endpoint != "" && known.find(incarnation) != nil {
 		return false
 	}
-	if len(known.strikes) >= maxStrikes {
-		m.dropFirst(s.Fingerprint, known)
+	if len(known.strikes) >= maxStrikes && !m.dropLowest(s.Fingerprint, known, s.Crashes) {
+		return false
 	}
 	known.strikes = append(known.strikes, strike{incarnation: incarnation, crashes: s.Crashes, inFlight: s.InFlight, lifetime: s.Lifetime, mark: mark})
 	known.updated = now
@@ -246,14 +246,25 @@
 	}
 }
 
-// dropFirst drops the first crash of a suspect; the caller holds the lock.
-func (m *Memory) dropFirst(f kctport.Fingerprint, known *suspect) {
-	incarnation := known.strikes[0].incarnation
-	known.strikes = known.strikes[1:]
+// dropLowest drops the crash of a suspect with the lowest number, for one with a number above it; false means that there is none. What was dropped is not
+// taken again, so that entries with different crashes of a request don't tell each other of them without end. The caller holds the lock.
+func (m *Memory) dropLowest(f kctport.Fingerprint, known *suspect, crashes int) bool {
+	lowest := 0
+	for i, k := range known.strikes {
+		if k.crashes < known.strikes[lowest].crashes {
+			lowest = i
+		}
+	}
+	if known.strikes[lowest].crashes >= crashes {
+		return false
+	}
+	incarnation := known.strikes[lowest].incarnation
+	known.strikes = slices.Delete(known.strikes, lowest, lowest+1)
 	m.crashed[incarnation] = slices.DeleteFunc(m.crashed[incarnation], func(other kctport.Fingerprint) bool { return other == f })
 	if len(m.crashed[incarnation]) == 0 {
 		delete(m.crashed, incarnation)
 	}
+	return true
 }
 
 // expire drops suspects whose lifetime has ended and those beyond maxSuspects; the caller holds the lock.
