Keep the deadline of a move whose request is written again

Seen: the store comes back from a copy that lacks the request of a move, the operator writes the request again a second later, and the move goes on with a deadline that is a second later than the operator has asked for (TestDeadlineAfterRestore: 1m1s in place of 1m).

Change: with the progress, the time of the request counts for the request as it was written again.

TestDeadlineAfterRestore fails without the change and passes with it.

--- a/core/kctfleet/move.go
+++ b/core/kctfleet/move.go
@@ -64,10 +64,26 @@
 	return fmt.Sprintf("%s@%d", request.Move.To, request.Revision.Number)
 }
 
-// continueMove lets the progress of a move count for its request as the operator has written it again, after the store came back from an older copy.
-func (s *state) continueMove(now time.Time, old *record, c kctport.RegistryChange) {
-	if old == nil || old.Move == nil || c.Move == nil || *old.Move != *c.Move || !s.contact.inRestoreGrace(now) {
-		return
+// recordRequest notes when a move was requested, unless the change may be old.
+func (s *state) recordRequest(now time.Time, old *record, c kctport.RegistryChange) {
+	switch {
+	case c.Move == nil:
+	case s.isRewritten(now, old, c):
+		s.continueMove(old, c)
+	case !s.readsAll:
+		s.mover.requestedAt[moveID(c)] = now
+	}
+}
+
+// isRewritten reports whether the operator has written a request again, after the store came back from an older copy.
+func (s *state) isRewritten(now time.Time, old *record, c kctport.RegistryChange) bool {
+	return old != nil && old.Move != nil && *old.Move == *c.Move && s.contact.inRestoreGrace(now)
+}
+
+// continueMove lets the progress of a move, and the time of its request, count for the request as the operator has written it again.
+func (s *state) continueMove(old *record, c kctport.RegistryChange) {
+	if at, ok := s.mover.requestedAt[moveID(old.RegistryChange)]; ok {
+		s.mover.requestedAt[moveID(c)] = at
 	}
 	for _, r := range s.moveRecords {
 		if r.Progress != nil && r.Progress.ID == moveID(old.RegistryChange) {
--- a/core/kctfleet/record.go
+++ b/core/kctfleet/record.go
@@ -113,7 +113,7 @@
 		old.Revision = c.Revision
 		return nil
 	}
-	s.continueMove(now, old, c)
+	s.recordRequest(now, old, c)
 	r := &record{RegistryChange: c, readAt: now}
 	if t, ok := s.tombstones[c.Key]; ok && t.isReturn(c) {
 		// If the endpoint is gone, its record expires again.
@@ -126,9 +126,6 @@
 	if c.Kind == kctport.RecordMove || c.Kind == kctport.RecordProgress {
 		s.moveRecords[c.Key] = r
 	}
-	if c.Move != nil && !s.readsAll {
-		s.mover.requestedAt[moveID(c)] = now
-	}
 	s.outbox = append(s.outbox, c)
 	return []event{changeEvent(old, c)}
 }
--- a/core/kctfleet/restore_test.go
+++ b/core/kctfleet/restore_test.go
@@ -157,3 +157,22 @@
 		}
 	}
 }
+
+// TestDeadlineAfterRestore guards against a move whose deadline is counted from the moment when the operator has written its request again, because the copy
+// from which the store has come back lacks it.
+func TestDeadlineAfterRestore(t *testing.T) {
+	request := kctport.RegistryChange{Kind: kctport.RecordMove, Key: "moves/s", Revision: revision(50), Value: []byte("request"), Move: &kctport.MoveRequest{Service: "s", To: "v2", Duration: time.Minute}}
+	progress := kctport.RegistryChange{Kind: kctport.RecordProgress, Key: "progress/s", Revision: revision(58), Progress: &kctport.MoveProgress{
+		Move: kctport.Move{ID: "v2@50", Service: "s", From: "v1", To: "v2", Started: start, Deadline: start.Add(time.Minute), State: kctport.MoveRunning, Share: 0.5},
+	}}
+	s := restored([]kctport.RegistryChange{request, progress}, nil)
+	request.Revision = laterEra(41)
+	s.apply(start.Add(time.Second), request)
+	p := s.requestedMoves()["s"].progress
+	if p == nil {
+		t.Fatal("the move has no progress")
+	}
+	if deadline := s.local(p.Move).Deadline; !deadline.Equal(start.Add(time.Minute)) {
+		t.Errorf("the deadline is %v after the request, want a minute", deadline.Sub(start))
+	}
+}
