Let a step of a move that panics not end the process

Seen: a panic in a step of a move, or in the publication of the fleet state that evaluates the evidence on a version, ended the process. The evidence comes from other entries, so that one report could end all of them, and each again after its start (TestMoveThatPanics).

Cause: only updates of the store and of other entries were applied with a recover; what is derived from them was not.

Change: each step of the control loop is applied like an update. The state that was changed before a panic counts as not published until a later step has published it; without that, changes of a step whose publication panicked were never seen by traffic.

No report is known that makes a step panic: this is a second line of defence. TestMoveThatPanics fails without the change, by a panic, and passes with it.

--- a/core/kctfleet/controller.go
+++ b/core/kctfleet/controller.go
@@ -205,13 +205,14 @@
 		case <-ticks:
 			events = s.updateSelf(c.Self())
 		}
-		now := c.timer.Now()
-		c.advanceMoves(ctx, s, now)
-		events = append(events, s.contact.assess(now)...)
-		events = append(events, s.expire(now)...)
-		c.publish(s, now, len(events) > 0 || c.hasNewEvidence(s, now))
-		c.publishContact(s, now)
-		c.broadcast(s, now)
+		for _, step := range []update{
+			func(s *state, now time.Time) []event { return c.advanceMoves(ctx, s, now) },
+			func(s *state, now time.Time) []event { return append(s.contact.assess(now), s.expire(now)...) },
+			func(s *state, now time.Time) []event { return c.publishAll(s, now) },
+		} {
+			s.changed = s.changed || len(events) > 0
+			events = append(events, c.applyUpdate(s, step)...)
+		}
 		for _, e := range events {
 			if e.message != "" {
 				c.log.LogChange(e.message, e.key, e.detail, e.version)
@@ -220,11 +221,21 @@
 	}
 }
 
+// publishAll publishes the fleet state and the contact with the store, and sends other entries what is new.
+func (c *Controller) publishAll(s *state, now time.Time) []event {
+	c.publish(s, now, s.changed || c.hasNewEvidence(s, now))
+	s.changed = false
+	c.publishContact(s, now)
+	c.broadcast(s, now)
+	return nil
+}
+
 // applyUpdate applies an update. One that panics is counted and left out: what comes from the store and from other entries must not end the process, which
 // would read it again after its start.
 func (c *Controller) applyUpdate(s *state, u update) (events []event) {
 	defer func() {
 		if p := recover(); p != nil {
+			s.changed = true
 			c.checker.Check(false, "updates apply without a panic", fmt.Sprintf("%v\n%s", p, debug.Stack()))
 		}
 	}()
--- a/core/kctfleet/move.go
+++ b/core/kctfleet/move.go
@@ -298,9 +298,9 @@
 }
 
 // advanceMoves decides on the control goroutine and starts the writes on others.
-func (c *Controller) advanceMoves(ctx context.Context, s *state, now time.Time) {
+func (c *Controller) advanceMoves(ctx context.Context, s *state, now time.Time) []event {
 	if len(s.moveRecords) == 0 || now.Sub(s.mover.advancedAt) < moveInterval {
-		return
+		return nil
 	}
 	s.mover.advancedAt = now
 	c.recordObservations(s, now)
@@ -312,6 +312,7 @@
 			p.From, p.To, p.State, p.Share, p.Announced, p.Rate, p.Evidence), 0)
 		c.pendingSaves.Go(func() { c.save(ctx, save) })
 	}
+	return nil
 }
 
 // hasNewEvidence reports whether there is evidence against a version to which the published fleet state still sends traffic.
--- a/core/kctfleet/panic_test.go
+++ b/core/kctfleet/panic_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	kctport "kingcupturn"
+	"kingcupturn/core/kctmove"
 	"kingcupturn/io/kcttimer"
 )
 
@@ -54,3 +55,46 @@
 		<-done
 	})
 }
+
+// TestMoveThatPanics guards against a process that ends because a step of a move panics, and against a move that stays where it was after that.
+func TestMoveThatPanics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		checker := &countingChecker{}
+		store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1}
+		c := New(kctport.EntryRecord{ID: "e", Zone: "a"}, store, nil, kcttimer.New(), discardLogger{}, WithChecker(checker))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := c.Run(ctx)
+		var tracker *kctmove.Tracker
+		c.update(ctx, func(s *state, now time.Time) []event {
+			for _, change := range runningMove {
+				s.apply(now, change)
+			}
+			tracker, s.mover.tracker = s.mover.tracker, nil
+			return nil
+		})
+		time.Sleep(time.Second)
+		violations := checker.violations.Load()
+		if violations == 0 {
+			t.Error("no step panicked")
+		}
+		c.update(ctx, func(s *state, _ time.Time) []event {
+			s.mover.tracker = tracker
+			return nil
+		})
+		time.Sleep(5 * time.Second)
+		if share, ok := c.Fleet().Moves["s"]; !ok || share.Share != 0.5 || c.Fleet().Rules == nil {
+			t.Errorf("after %d steps that panicked: move %+v, rules %v; want the move and the rules of the store", violations, share, c.Fleet().Rules)
+		}
+		cancel()
+		<-done
+	})
+}
+
+// runningMove is a move of service s, read by entry e, which sends half of the traffic to v2.
+var runningMove = []kctport.RegistryChange{
+	{Kind: kctport.RecordReader, Key: "readers/a", Revision: revision(4), Reader: &kctport.EntryRecord{ID: "e", Zone: "a"}},
+	{Kind: kctport.RecordMove, Key: "moves/s", Revision: revision(5), Move: &kctport.MoveRequest{Service: "s", To: "v2", Duration: time.Minute}},
+	{Kind: kctport.RecordProgress, Key: "progress/s", Revision: revision(6), Progress: &kctport.MoveProgress{
+		Move: kctport.Move{ID: "v2@5", Service: "s", From: "v1", To: "v2", Started: start, Deadline: start.Add(time.Minute), State: kctport.MoveRunning, Share: 0.5},
+	}},
+}
--- a/core/kctfleet/state.go
+++ b/core/kctfleet/state.go
@@ -47,6 +47,8 @@
 	mover                   *mover
 	// readsAll is set while a complete reading is applied, whose records may be old.
 	readsAll bool
+	// changed is set while the published fleet state lacks changes, also those of an update that panicked half-way.
+	changed  bool
 	draining bool
 }
 
