Ignore move reports with counts that no entry can have

Seen: a report of -1 requests and 1 failure, or of 0 requests and 1 failure, stops a version on all entries (TestOddReports: "20 of 0 requests of v2 failed, 20 of 0 of v1").

Cause: the counts of a report were added to the evidence as they came.

Change: a report counts only if its requests are at least its failures and latencies together, none of them is negative, and the sums can't overflow.

TestOddReports fails without the change and passes with it.

--- a/core/kctfleet/panic_test.go
+++ b/core/kctfleet/panic_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -98,3 +99,33 @@
 		Move: kctport.Move{ID: "v2@5", Service: "s", From: "v1", To: "v2", Started: start, Deadline: start.Add(time.Minute), State: kctport.MoveRunning, Share: 0.5},
 	}},
 }
+
+// TestOddReports guards against reports of another entry, with counts that no entry can have, which end the process or stop a version.
+func TestOddReports(t *testing.T) {
+	numbers := []int{math.MinInt, -1, 0, 1, math.MaxInt}
+	latencies := [][]int{nil, {-1}, {math.MaxInt, math.MaxInt}, make([]int, 1<<12)}
+	for _, requests := range numbers {
+		for _, failures := range numbers {
+			for _, l := range latencies {
+				s := newTestState(kctport.EntryRecord{ID: "e", Zone: "a"})
+				for _, change := range runningMove {
+					s.apply(start, change)
+				}
+				s.decideMoves(start)
+				for i := range 20 {
+					at := start.Add(time.Duration(i) * time.Second)
+					for _, version := range []kctport.VersionName{"v1", "v2", "v3"} {
+						r := kctport.MoveReport{From: "other", Move: "v2@5", Version: version, Route: "/", Requests: requests, Failures: failures, Timed: requests, Slow: failures, Latencies: l}
+						s.mover.tracker.Merge(at, r.From, []kctport.MoveReport{r})
+						s.mover.tracker.Forward([]kctport.MoveReport{r})
+					}
+					s.mover.tracker.Reports(at)
+					s.decideMoves(at)
+				}
+				if stop, stopped := s.isStopped(start.Add(time.Minute), s.requestedMoves()["s"].progress.Move); stopped && (requests <= 0 || failures <= 0 || failures > requests) {
+					t.Errorf("stopped by reports of %d requests and %d failures: %s", requests, failures, stop.Evidence)
+				}
+			}
+		}
+	}
+}
--- a/core/kctmove/tracker.go
+++ b/core/kctmove/tracker.go
@@ -195,7 +195,7 @@
 func (t *Tracker) Forward(reports []kctport.MoveReport) {
 	for _, r := range reports {
 		m := t.moves[r.Move]
-		if m == nil || r.Stopped || r.Version != m.move.From && r.Version != m.move.To {
+		if m == nil || r.Stopped || !m.isValid(r) {
 			continue
 		}
 		c := countsOf(r)
@@ -203,6 +203,27 @@
 	}
 }
 
+// maxReported is the most requests that a report may count; sums of such counts don't overflow.
+const maxReported = 1 << 32
+
+// isValid reports whether a report is of a version of the move, with counts that an entry can have.
+func (m *trackedMove) isValid(r kctport.MoveReport) bool {
+	if r.Version != m.move.From && r.Version != m.move.To || r.Requests < 0 || r.Requests > maxReported || r.Failures < 0 || len(r.Latencies) > buckets {
+		return false
+	}
+	left := r.Requests - r.Failures
+	if r.Timed < 0 || r.Timed > left {
+		return false
+	}
+	for _, n := range r.Latencies {
+		if n < 0 || n > left {
+			return false
+		}
+		left -= n
+	}
+	return left >= 0
+}
+
 func countsOf(r kctport.MoveReport) counts {
 	c := counts{requests: r.Requests, failures: r.Failures}
 	copy(c.latencies[:], r.Latencies)
@@ -246,7 +267,7 @@
 }
 
 func (m *trackedMove) merge(now time.Time, from kctport.InstanceID, r kctport.MoveReport) {
-	if r.Version != m.move.From && r.Version != m.move.To {
+	if !m.isValid(r) {
 		return
 	}
 	if r.Version == m.move.To {
