Name the connection and the bytes of an answer that is dropped

What callers saw: a success where the server had answered a failure. Cause of the gap: logs could not tell the three hypotheses of docs/incidents/repeated-answers.md apart. A head that could not be read was a failed connection like any other, without the bytes, the connection or how many answers had come on it; idle connections with unexpected bytes and skipped second answers left no trace at all.

Change: io/kctanswer reads answers and keeps the bytes of the head. An attempt whose answer is unreadable or belongs to another request is logged as 'answer dropped', with the number of the answer on its connection, both addresses and the first 160 bytes; counters connections_stray_total and answers_skipped_total. Which answers are accepted is unchanged.

--- a/core/kctforward/decide.go
+++ b/core/kctforward/decide.go
@@ -24,7 +24,11 @@
 	case r.err != nil:
 		p.ran++
 		p.delivered++
-		c.addEvent(now, "attempt failed", r, r.err.Error())
+		kind := "attempt failed"
+		if errors.Is(r.err, kctport.ErrMismatch) {
+			kind = "answer dropped"
+		}
+		c.addEvent(now, kind, r, r.err.Error())
 		c.retry(p)
 	case r.response.OK() && r.response.Signature != "":
 		p.ran++
--- a/io/kctegress/client.go
+++ b/io/kctegress/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/netip"
 	"syscall"
@@ -54,11 +55,26 @@
 	return done
 }
 
-// Opened returns the number of connections opened since the start.
-func (c *Client) Opened() uint64 {
+// Counts holds numbers of connections and answers since the start.
+type Counts struct {
+	// Opened counts connections, Strays those that were closed since their endpoint sent bytes on them while they were idle.
+	Opened, Strays uint64
+	// Skipped counts second answers to earlier requests that came before the answer to a request.
+	Skipped uint64
+}
+
+// Counts returns the numbers of connections and answers since the start.
+func (c *Client) Counts() Counts {
 	c.pools.mu.Lock()
 	defer c.pools.mu.Unlock()
-	return c.pools.opened
+	return c.pools.counts
+}
+
+// count changes the counts.
+func (c *Client) count(change func(*Counts)) {
+	c.pools.mu.Lock()
+	defer c.pools.mu.Unlock()
+	change(&c.pools.counts)
 }
 
 // Open begins the attempts at a message; when the context is cancelled, their connections are closed.
@@ -84,6 +100,12 @@
 	return kctport.LivenessUnknown
 }
 
+// isMalformed reports whether an error of reading an answer is of its bytes, and not of the connection.
+func isMalformed(err error) bool {
+	var netErr net.Error
+	return !errors.As(err, &netErr) && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, kctport.ErrMismatch)
+}
+
 // classifyError wraps a connection error in the error of kctport.Exchange; when no byte was sent, the request has not run.
 func classifyError(ctx context.Context, sent bool, err error) error {
 	var netErr net.Error
--- a/io/kctegress/client_test.go
+++ b/io/kctegress/client_test.go
@@ -212,7 +212,7 @@
 			}
 			time.Sleep(c.idle)
 		}
-		if n := k.Opened(); c.connections > 0 && n != c.connections {
+		if n := k.Counts().Opened; c.connections > 0 && n != c.connections {
 			t.Errorf("%d connections, want %d", n, c.connections)
 		}
 	}
@@ -234,8 +234,8 @@
 	if r, err := exchange(c, endpoint, "1", strings.Repeat("x", 8<<20)); err != nil || string(r.Body) != "early" {
 		t.Errorf("%q, %v", r.Body, err)
 	}
-	if r, err := exchange(c, endpoint, "2", ""); err != nil || string(r.Body) != "POST" || c.Opened() != 2 {
-		t.Errorf("%q, %v, %d connections", r.Body, err, c.Opened())
+	if r, err := exchange(c, endpoint, "2", ""); err != nil || string(r.Body) != "POST" || c.Counts().Opened != 2 {
+		t.Errorf("%q, %v, %d connections", r.Body, err, c.Counts().Opened)
 	}
 }
 
@@ -259,7 +259,7 @@
 			t.Error(err)
 		}
 	}
-	if n := c.Opened(); n > 2 {
+	if n := c.Counts().Opened; n > 2 {
 		t.Errorf("%d connections were opened, at most 2 are allowed", n)
 	}
 }
--- a/io/kctegress/conn.go
+++ b/io/kctegress/conn.go
@@ -1,7 +1,6 @@
 package kctegress
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -18,6 +17,8 @@
 	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctanswer"
+	"kingcupturn/io/kctbody"
 )
 
 const (
@@ -25,15 +26,8 @@
 	keepAliveMargin = 300 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept when its endpoint states no idle timeout.
 	defaultIdleTimeout = 4 * time.Second
-	// readBuffer is the size of a read buffer in bytes; it fits the headers of an answer and a small body.
-	readBuffer = 2 << 10
-	// maxHead is the largest accepted head of an answer in bytes; the users' callers may send 16 KiB.
-	maxHead = 64 << 10
 )
 
-// errHeadTooLong ends the reading of a head without end.
-var errHeadTooLong = errors.New("head of more than 64 KiB")
-
 // conn is a connection to an endpoint, used by one attempt at a time. Its own goroutine reads it, also while it is idle, so that a connection which the
 // endpoint closes or on which it sends bytes that belong to no request is not used again.
 type conn struct {
@@ -51,21 +45,16 @@
 	written chan error
 
 	// The other fields belong to the reading goroutine.
-	reader *bufio.Reader
+	reader *kctanswer.Reader
 	// raw is nil for a connection without a file descriptor.
 	raw syscall.RawConn
 	// next is what makes the connection available again, nil once that is done.
 	next *turn
 	// step is readStep; buffer, n and err are its arguments and results.
-	step   func(fd uintptr) bool
-	buffer []byte
-	n      int
-	err    error
-	// headLeft is the number of bytes that may still be read while readingHead is set.
-	headLeft    int
-	readingHead bool
-	// answers counts the answers read; the first one can't be stale.
-	answers     int
+	step        func(fd uintptr) bool
+	buffer      []byte
+	n           int
+	err         error
 	idleTimeout time.Duration
 }
 
@@ -79,7 +68,7 @@
 
 func newConn(client *Client, at netip.AddrPort, nc net.Conn) *conn {
 	c := &conn{Conn: nc, client: client, at: at, idleTimeout: defaultIdleTimeout}
-	c.reader = bufio.NewReaderSize(readerFunc(c.read), readBuffer)
+	c.reader = kctanswer.NewReader(readerFunc(c.receive))
 	c.step = c.readStep
 	if s, ok := nc.(syscall.Conn); ok {
 		if raw, err := s.SyscallConn(); err == nil {
@@ -173,11 +162,14 @@
 
 // serve waits for the next answer and reports it; false means that the connection can't be used any more.
 func (c *conn) serve() bool {
-	_, err := c.reader.Peek(1)
+	err := c.reader.Wait()
 	c.mu.Lock()
 	a := c.current
 	c.mu.Unlock()
 	if a == nil {
+		if err == nil {
+			c.client.count(func(n *Counts) { n.Strays++ })
+		}
 		// The endpoint closed the idle connection, sent bytes that belong to no request, or the connection was idle for too long.
 		return false
 	}
@@ -210,19 +202,6 @@
 	}
 }
 
-// read reads from the connection and bounds the bytes of a head.
-func (c *conn) read(b []byte) (int, error) {
-	if !c.readingHead {
-		return c.receive(b)
-	}
-	if c.headLeft <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := c.receive(b[:min(len(b), c.headLeft)])
-	c.headLeft -= n
-	return n, err
-}
-
 // receive reads available bytes or waits for them. Before it waits for the next answer it makes the connection available; what arrives after that ends
 // the wait, so that no system call is needed to find out that nothing has arrived yet.
 func (c *conn) receive(b []byte) (int, error) {
@@ -276,51 +255,55 @@
 	}
 }
 
-// readHead reads the head of an answer.
-func (c *conn) readHead(request *http.Request) (*http.Response, error) {
-	c.readingHead, c.headLeft = true, maxHead-c.reader.Buffered()
-	defer func() { c.readingHead = false }()
-	return http.ReadResponse(c.reader, request)
-}
-
 // readAnswer skips interim and stale answers and returns the answer to the attempt's request; the bool reports whether the connection can be reused.
 func (c *conn) readAnswer(a *attempt) (kctport.Response, bool, error) {
-	ctx, message := a.exchange.ctx, a.exchange.message
+	message := a.exchange.message
 	request := &http.Request{Method: message.Method}
 	for range maxStaleAnswers + 1 {
-		raw, err := c.readHead(request)
+		answer, err := c.reader.Next(request, &c.client.bodies, maxBody)
 		if err != nil {
-			return kctport.Response{}, false, classifyError(ctx, true, err)
+			return kctport.Response{}, false, c.readError(a, err)
 		}
-		if raw.StatusCode < http.StatusOK {
+		if answer.Interim() {
 			continue
 		}
-		body, err := c.client.bodies.Read(raw.Body, maxBody)
-		if err != nil {
-			// Closing the body would read on to its end.
-			return kctport.Response{}, false, classifyError(ctx, true, err)
-		}
-		raw.Body.Close()
-		response, id := c.client.dialect.Response(raw.StatusCode, kctport.Header(raw.Header))
-		c.recordIdleTimeout(raw.Header)
-		c.answers++
-		if id != message.ID && !c.acceptWithoutID(a, id, &response) {
+		response, id := c.client.dialect.Response(answer.Status, kctport.Header(answer.Header))
+		c.recordIdleTimeout(answer.Header)
+		if id != message.ID && !acceptWithoutID(a, answer, id, &response) {
 			// This is a second answer to an earlier request; the answer to this request follows.
-			if raw.Close {
+			c.client.count(func(n *Counts) { n.Skipped++ })
+			if answer.Close {
 				break
 			}
 			continue
 		}
-		response.Body = body
-		return response, !raw.Close && c.reader.Buffered() == 0, nil
+		response.Body = answer.Body
+		return response, !answer.Close && c.reader.Buffered() == 0, nil
+	}
+	return kctport.Response{}, false, c.dropped(kctport.ErrMismatch, "the answers belong to other requests")
+}
+
+// readError classifies an error of reading an answer.
+func (c *conn) readError(a *attempt, err error) error {
+	if isMalformed(err) {
+		return c.dropped(errors.Join(kctport.ErrReset, kctport.ErrMismatch), kctbody.ErrorText(err))
 	}
-	return kctport.Response{}, false, eris.Wrap(kctport.ErrMismatch, "the answers belong to other requests")
+	return classifyError(a.exchange.ctx, true, err)
+}
+
+// maxExcerpt is the largest part of an answer in bytes that an error quotes.
+const maxExcerpt = 160
+
+// dropped returns the error of an answer that is not passed on, with the connection and the beginning of the last head.
+func (c *conn) dropped(kind error, reason string) error {
+	head := c.reader.Head()
+	return eris.Wrapf(kind, "%s; answer %d on connection %s to %s begins %.*q", reason, c.reader.Answers(), c.LocalAddr(), c.at, maxExcerpt, head)
 }
 
 // acceptWithoutID reports whether an answer without an identifier is a refusal that can be accepted as the answer to this request: it is the
 // connection's first answer, which can't be stale, or the request is idempotent, which may be repeated even if it ran.
-func (c *conn) acceptWithoutID(a *attempt, id string, r *kctport.Response) bool {
-	return id == "" && r.NotRun && (c.answers == 1 || !a.options.NonIdempotent)
+func acceptWithoutID(a *attempt, answer *kctanswer.Answer, id string, r *kctport.Response) bool {
+	return id == "" && r.NotRun && (answer.First || !a.options.NonIdempotent)
 }
 
 // nothingReceived reports whether the connection was neither sent data nor closed by the endpoint while it was idle.
--- a/io/kctegress/connection_test.go
+++ b/io/kctegress/connection_test.go
@@ -32,7 +32,7 @@
 			t.Errorf("request %s got %q, %v", id, r.Body, err)
 		}
 	}
-	if n := k.Opened(); n != 1 {
+	if n := k.Counts().Opened; n != 1 {
 		t.Errorf("%d connections, want 1: the copies must arrive on a connection in use", n)
 	}
 }
--- a/io/kctegress/pool.go
+++ b/io/kctegress/pool.go
@@ -37,8 +37,7 @@
 	// conns holds all open connections; none may be added once closed is set.
 	conns  map[*conn]struct{}
 	closed bool
-	// opened counts the connections opened since the start.
-	opened uint64
+	counts Counts
 	// readers counts the goroutines of connections, including those being opened.
 	readers sync.WaitGroup
 }
@@ -144,7 +143,7 @@
 		nc.Close()
 		return nil, eris.Wrap(errNotSent, "this entry stops")
 	}
-	p.opened++
+	p.counts.Opened++
 	p.conns[c] = struct{}{}
 	return c, nil
 }
--- a/io/kctmetric/serving.go
+++ b/io/kctmetric/serving.go
@@ -8,6 +8,7 @@
 	"kingcupturn/core/kctbalance"
 	"kingcupturn/core/kctforward"
 	"kingcupturn/core/kctsuspect"
+	"kingcupturn/io/kctegress"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -66,8 +67,10 @@
 
 // Counters are counters that other packages maintain.
 type Counters struct {
-	// Opened counts connections to endpoints, Dropped log lines, Losses losses of contact with the store, and DroppedReports reports to other entries.
-	Opened, Dropped, Losses, DroppedReports func() uint64
+	// Egress counts connections to endpoints and their answers.
+	Egress func() kctegress.Counts
+	// Dropped counts log lines, Losses losses of contact with the store, and DroppedReports reports to other entries.
+	Dropped, Losses, DroppedReports func() uint64
 }
 
 // RegisterFleet registers gauges of the current fleet state, and counters that other packages maintain.
@@ -124,7 +127,12 @@
 		return float64(paused)
 	})
 	counter := m.counterFunc
-	counter("connections_opened_total", "Connections opened to endpoints.", counters.Opened)
+	egress := func(name, help string, read func(kctegress.Counts) uint64) {
+		counter(name, help, func() uint64 { return read(counters.Egress()) })
+	}
+	egress("connections_opened_total", "Connections opened to endpoints.", func(c kctegress.Counts) uint64 { return c.Opened })
+	egress("connections_stray_total", "Idle connections closed since their endpoint sent bytes on them.", func(c kctegress.Counts) uint64 { return c.Strays })
+	egress("answers_skipped_total", "Second answers to earlier requests that came before the answer to a request.", func(c kctegress.Counts) uint64 { return c.Skipped })
 	counter("log_lines_dropped_total", "Log lines dropped because the reader of standard output was slow.", counters.Dropped)
 	counter("store_losses_total", "Losses of contact with the store.", counters.Losses)
 	counter("reports_dropped_total", "Reports of this entry's traffic that other entries did not get.", counters.DroppedReports)
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -121,7 +121,7 @@
 	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
 	n.suspects = kctsuspect.NewDetector(memory, n.egress, kctsuspect.WithReport(n.control.Report), kctsuspect.WithOnCrash(log.LogCrash))
 	n.metrics.RegisterFleet(n.control, n.timer, n.policies.Balancer, kctmetric.Counters{
-		Opened: n.egress.Opened, Dropped: n.droppedLines, Losses: n.control.ContactLosses, DroppedReports: n.control.DroppedReports,
+		Egress: n.egress.Counts, Dropped: n.droppedLines, Losses: n.control.ContactLosses, DroppedReports: n.control.DroppedReports,
 	})
 	n.metrics.RegisterSuspects(n.suspects)
 	n.relay = kctrelay.NewClient(n.timer)
