Use a connection once for each identifier

What callers saw: the copy of an earlier answer, if a request came twice with the same identifier, from its caller or from an entry, and an endpoint sent the first answer again.

Cause: the identifier was the only thing that tells a second copy from the answer to the request at hand.

Change: a connection keeps the hashes of its last 32 identifiers. An attempt whose identifier is among them gets another connection, in the place of an idle one if the limit is reached.

Why it works: on a connection no two requests have the same identifier, so that it names one request again. A copy that is later than 32 requests isn't covered.

--- a/io/kctegress/client.go
+++ b/io/kctegress/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/netip"
@@ -33,13 +34,15 @@
 	dialect kctport.Dialect
 	pools   *Pools
 	bodies  kctbody.Reader
+	// seed is that of the hashes of identifiers.
+	seed maphash.Seed
 }
 
 var _ kctport.Exchanger = (*Client)(nil)
 
 // New returns a client without connections.
 func New(timer kctport.Timer, dialect kctport.Dialect) *Client {
-	c := &Client{timer: timer, dialect: dialect}
+	c := &Client{timer: timer, dialect: dialect, seed: maphash.MakeSeed()}
 	c.pools = newPools(c)
 	return c
 }
--- a/io/kctegress/conn.go
+++ b/io/kctegress/conn.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -28,6 +29,8 @@
 	defaultIdleTimeout = 4 * time.Second
 	// copyGap is how long the rest of a second copy is waited for when its beginning may be part of an answer.
 	copyGap = 5 * time.Millisecond
+	// maxCarried is the number of requests on a connection whose identifiers are kept.
+	maxCarried = 32
 	// maxPeek is the number of bytes after an answer that are looked at.
 	maxPeek = 64
 )
@@ -38,8 +41,11 @@
 	net.Conn
 	client *Client
 	at     netip.AddrPort
-	// idleSince is when the connection was last put back; the lock of the pools guards it.
+	// idleSince is when the connection was last put back; carried holds the hashes of the last identifiers for which it was used, in a ring, and uses their
+	// number. The lock of the pools guards them.
 	idleSince time.Time
+	carried   [maxCarried]uint64
+	uses      int
 
 	mu sync.Mutex
 	// current is the attempt in progress, nil while the connection is idle; closed is set once no attempt may begin.
@@ -87,6 +93,17 @@
 
 func (f readerFunc) Read(b []byte) (int, error) { return f(b) }
 
+// carry records the use of the connection for an attempt.
+func (c *conn) carry(a *attempt) {
+	c.carried[c.uses%maxCarried] = a.hash
+	c.uses++
+}
+
+// hasCarried reports whether the connection was used for another attempt with the same identifier.
+func (c *conn) hasCarried(a *attempt) bool {
+	return slices.Contains(c.carried[:min(c.uses, maxCarried)], a.hash)
+}
+
 // begin makes an attempt the one in progress and bounds its time; false means that the connection is closed.
 func (c *conn) begin(a *attempt) bool {
 	c.mu.Lock()
--- a/io/kctegress/exchange.go
+++ b/io/kctegress/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"hash/maphash"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -30,7 +31,7 @@
 
 // Send makes an attempt as kctport.Exchange describes.
 func (x *exchange) Send(endpoint *kctport.EndpointRecord, o kctport.ExchangeOptions, done func(kctport.Response, error)) {
-	a := &attempt{exchange: x, endpoint: endpoint, options: o, done: done}
+	a := &attempt{exchange: x, endpoint: endpoint, options: o, done: done, hash: maphash.String(x.client.seed, x.message.ID)}
 	x.mu.Lock()
 	x.attempts = append(x.attempts, a)
 	x.mu.Unlock()
@@ -99,6 +100,8 @@
 	endpoint *kctport.EndpointRecord
 	options  kctport.ExchangeOptions
 	done     func(kctport.Response, error)
+	// hash is that of the message's identifier.
+	hash uint64
 	// conn is set once the request is about to be sent.
 	conn  atomic.Pointer[conn]
 	ended atomic.Bool
--- a/io/kctegress/pool.go
+++ b/io/kctegress/pool.go
@@ -58,7 +58,8 @@
 	}
 }
 
-// reserve returns an idle connection, or true when the attempt may open one, or queues the attempt.
+// reserve returns an idle connection, or true when the attempt may open one, or queues the attempt. A connection is used once for an identifier, since a second
+// copy of the earlier answer could not be told from the attempt's own.
 func (p *Pools) reserve(a *attempt) (*conn, bool) {
 	maxIdle := time.Hour
 	if a.options.NonIdempotent {
@@ -72,20 +73,31 @@
 		q = &pool{}
 		p.pools[a.endpoint.Address] = q
 	}
-	for len(q.idle) > 0 {
-		c := q.idle[len(q.idle)-1]
-		q.idle = q.idle[:len(q.idle)-1]
-		if idle := now.Sub(c.idleSince); idle < maxIdle && idle < c.idleTimeout && (!a.options.NonIdempotent || c.nothingReceived()) {
+	for i := len(q.idle) - 1; i >= 0; i-- {
+		c := q.idle[i]
+		idle := now.Sub(c.idleSince)
+		switch {
+		case idle >= maxIdle || idle >= c.idleTimeout || a.options.NonIdempotent && !c.nothingReceived():
+			q.idle = slices.Delete(q.idle, i, i+1)
+			// Its goroutine discards it.
+			c.interrupt(nil)
+		case !c.hasCarried(a):
+			q.idle = slices.Delete(q.idle, i, i+1)
+			c.carry(a)
 			return c, false
 		}
-		// Its goroutine discards it.
-		c.interrupt(nil)
 	}
 	if q.open < a.options.Connections {
 		q.open++
 		return nil, true
 	}
 	q.waiting = append(q.waiting, a)
+	if len(q.idle) > 0 {
+		// None suits the attempt; it gets the place of the oldest.
+		c := q.idle[0]
+		q.idle = q.idle[1:]
+		c.interrupt(nil)
+	}
 	return nil, false
 }
 
@@ -125,6 +137,9 @@
 			a.finish(kctport.Response{}, err)
 			return
 		}
+		p.mu.Lock()
+		c.carry(a)
+		p.mu.Unlock()
 		c.run(a)
 	}()
 }
@@ -148,7 +163,7 @@
 	return c, nil
 }
 
-// put makes a connection available to the oldest waiting attempt, or to a later one.
+// put makes a connection available to the oldest waiting attempt that it suits, or to a later one.
 func (p *Pools) put(c *conn) {
 	now := p.client.timer.Now()
 	p.mu.Lock()
@@ -157,16 +172,23 @@
 		return
 	}
 	q := p.pools[c.at]
-	if len(q.waiting) == 0 {
-		c.idleSince = now
-		q.idle = append(q.idle, c)
+	i := slices.IndexFunc(q.waiting, func(a *attempt) bool { return !c.hasCarried(a) })
+	switch {
+	case i >= 0:
+		a := q.waiting[i]
+		q.waiting = slices.Delete(q.waiting, i, i+1)
+		c.carry(a)
 		p.mu.Unlock()
+		a.start(c)
 		return
+	case len(q.waiting) > 0:
+		// The place goes to an attempt that needs a connection of its own.
+		c.interrupt(nil)
+	default:
+		c.idleSince = now
+		q.idle = append(q.idle, c)
 	}
-	a := q.waiting[0]
-	q.waiting = q.waiting[1:]
 	p.mu.Unlock()
-	a.start(c)
 }
 
 // discard removes a closed connection.
