Give requests connections of their own at endpoints that send second copies

What callers saw: 502 for requests that may not be repeated, whose answers can't be told from copies of earlier ones on the same connection.

Cause: an endpoint that sends one second copy sends others, but its connections were used again as if nothing had been seen.

Change: core/kctreuse keeps the history of an address from the first evidence on: an answer dropped, or bytes on an idle connection. The limit of connections holds as before: an idle connection gives its place.

Why it works: no second copy of an earlier answer can come on a connection that has carried none.

--- a/io/kctegress/conn.go
+++ b/io/kctegress/conn.go
@@ -189,7 +189,7 @@
 	c.mu.Unlock()
 	if a == nil {
 		if err == nil {
-			c.client.count(func(n *Counts) { n.Strays++ })
+			c.client.pools.recordStray(c)
 		}
 		// The endpoint closed the idle connection, sent bytes that belong to no request, or the connection was idle for too long.
 		return false
@@ -199,6 +199,9 @@
 		return false
 	}
 	response, keep, err := c.readAnswer(a)
+	if errors.Is(err, kctport.ErrMismatch) {
+		c.client.pools.recordDropped(c)
+	}
 	if err != nil || !keep || !c.endWrite() {
 		a.finish(response, err)
 		return false
--- a/io/kctegress/pool.go
+++ b/io/kctegress/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/netip"
 	"slices"
@@ -11,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	kctport "kingcupturn"
+	"kingcupturn/core/kctreuse"
 )
 
 const (
@@ -37,13 +39,15 @@
 	// conns holds all open connections; none may be added once closed is set.
 	conns  map[*conn]struct{}
 	closed bool
-	counts Counts
+	// histories holds the addresses whose endpoints have sent second copies of answers.
+	histories map[netip.AddrPort]*kctreuse.History
+	counts    Counts
 	// readers counts the goroutines of connections, including those being opened.
 	readers sync.WaitGroup
 }
 
 func newPools(client *Client) *Pools {
-	return &Pools{client: client, pools: map[netip.AddrPort]*pool{}, conns: map[*conn]struct{}{}}
+	return &Pools{client: client, pools: map[netip.AddrPort]*pool{}, conns: map[*conn]struct{}{}, histories: map[netip.AddrPort]*kctreuse.History{}}
 }
 
 // acquire starts an attempt on an idle connection, opens one within the limit, or queues the attempt until one is put back or closed; a
@@ -81,7 +85,7 @@
 			q.idle = slices.Delete(q.idle, i, i+1)
 			// Its goroutine discards it.
 			c.interrupt(nil)
-		case !c.hasCarried(a):
+		case p.suits(now, c, a):
 			q.idle = slices.Delete(q.idle, i, i+1)
 			c.carry(a)
 			return c, false
@@ -101,6 +105,49 @@
 	return nil, false
 }
 
+// suits reports whether an attempt may use a connection that others have used; the caller holds the lock.
+func (p *Pools) suits(now time.Time, c *conn, a *attempt) bool {
+	return !c.hasCarried(a) && p.mayReuse(now, c.at, !a.options.NonIdempotent)
+}
+
+// mayReuse reports whether requests may use connections to an address on which others were answered; the caller holds the lock.
+func (p *Pools) mayReuse(now time.Time, at netip.AddrPort, repeatable bool) bool {
+	h := p.histories[at]
+	return h == nil || h.MayReuse(now, repeatable)
+}
+
+// recordStray records that the endpoint sent bytes on an idle connection.
+func (p *Pools) recordStray(c *conn) {
+	now := p.client.timer.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Strays++
+	p.history(now, c.at).RecordStray(now)
+}
+
+// recordDropped records an answer that was dropped, since it may hold bytes of others.
+func (p *Pools) recordDropped(c *conn) {
+	now := p.client.timer.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.history(now, c.at); c.uses > 1 {
+		h.RecordAnswer(now, true)
+	} else {
+		h.RecordStray(now)
+	}
+}
+
+// history returns the history of an address, a new one if there is none; the caller holds the lock.
+func (p *Pools) history(now time.Time, at netip.AddrPort) *kctreuse.History {
+	h := p.histories[at]
+	if h == nil {
+		maps.DeleteFunc(p.histories, func(_ netip.AddrPort, other *kctreuse.History) bool { return other.IsOver(now) })
+		h = &kctreuse.History{}
+		p.histories[at] = h
+	}
+	return h
+}
+
 // withdraw removes a waiting attempt; false means that it is no longer waiting.
 func (p *Pools) withdraw(a *attempt) bool {
 	p.mu.Lock()
@@ -171,8 +218,11 @@
 		p.mu.Unlock()
 		return
 	}
+	if h := p.histories[c.at]; h != nil && c.uses > 1 {
+		h.RecordAnswer(now, false)
+	}
 	q := p.pools[c.at]
-	i := slices.IndexFunc(q.waiting, func(a *attempt) bool { return !c.hasCarried(a) })
+	i := slices.IndexFunc(q.waiting, func(a *attempt) bool { return p.suits(now, c, a) })
 	switch {
 	case i >= 0:
 		a := q.waiting[i]
@@ -181,7 +231,7 @@
 		p.mu.Unlock()
 		a.start(c)
 		return
-	case len(q.waiting) > 0:
+	case len(q.waiting) > 0 || !p.mayReuse(now, c.at, true):
 		// The place goes to an attempt that needs a connection of its own.
 		c.interrupt(nil)
 	default:
--- a/io/kctegress/stutter_test.go
+++ b/io/kctegress/stutter_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -171,3 +172,58 @@
 		t.Errorf("%d connections, want 1", n)
 	}
 }
+
+// TestRequestAfterSecondCopy guards against requests that may not be repeated and are lost to second copies of earlier answers, once the endpoint is known for them.
+func TestRequestAfterSecondCopy(t *testing.T) {
+	const requests = 20
+	server := kctfake.NewStutter(func(r *http.Request) []byte {
+		id := r.Header.Get("Id")
+		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nId: %s\r\n\r\n%s", len(id), id, id)
+	}, func(*http.Request, int) kctfake.StutterPlan {
+		return kctfake.StutterPlan{Copy: true, CopyEnd: 20, InNext: new(int)}
+	})
+	address, err := server.Start(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Stop()
+	k := client(t)
+	failed := 0
+	for n := range requests {
+		id := fmt.Sprint("id", n)
+		m := &kctport.Message{ID: id, Method: "POST", Target: "/", Host: "h"}
+		r, err := send(context.Background(), k, &kctport.EndpointRecord{ID: "i-1", Address: address}, m, kctport.ExchangeOptions{
+			Deadline: time.Now().Add(2 * time.Second), Connections: 2, NonIdempotent: true,
+		})
+		switch {
+		case errors.Is(err, kctport.ErrMismatch) && !errors.Is(err, kctport.ErrNotRun):
+			failed++
+		case err != nil || string(r.Body) != id:
+			t.Errorf("request %s got %q, %v", id, r.Body, err)
+		}
+	}
+	if failed > 1 {
+		t.Errorf("%d of %d requests failed, want 1", failed, requests)
+	}
+}
+
+// TestStatusLineInHead guards against an endpoint that can't be used since a field of its sound answers holds a status line.
+func TestStatusLineInHead(t *testing.T) {
+	endpoint := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nUpstream: HTTP/1.1 200 OK\r\nContent-Length: 2\r\nId: %s\r\n\r\nok", r.Header.Get("Id"))
+		return err == nil
+	})
+	k := client(t)
+	const requests = 40
+	failed := 0
+	for n := range requests {
+		if r, err := exchange(k, endpoint, fmt.Sprint("id", n), ""); err != nil {
+			failed++
+		} else if string(r.Body) != "ok" {
+			t.Errorf("request %d got %q", n, r.Body)
+		}
+	}
+	if failed > requests/4 {
+		t.Errorf("%d of %d requests failed", failed, requests)
+	}
+}
