Find status lines within a head as net/http accepts them

What callers saw: heads made of two answers of a server that writes its status lines in another way than most.

Cause: the check knew HTTP/1 and one space only; net/http takes any version and several spaces.

Change: a status line within a head is found by what net/http accepts. A head with a status line in a field of the connection's first answer is also dropped if a field comes twice, since a copy need not repeat its answer byte for byte.

--- a/io/kctanswer/check.go
+++ b/io/kctanswer/check.go
@@ -5,14 +5,11 @@
 	"fmt"
 )
 
-const (
-	// version is the beginning of each status line, up to the minor version.
-	version = "HTTP/1."
-	// shortRest is the least number of bytes after an answer that show whether they begin another one.
-	shortRest = len("HTTP/")
-	// maxExcerpt is the largest part of an answer in bytes that a reason quotes.
-	maxExcerpt = 80
-)
+// maxExcerpt is the largest part of an answer in bytes that a reason quotes.
+const maxExcerpt = 80
+
+// protocol is the beginning of each status line.
+var protocol = []byte("HTTP/")
 
 // singleFields are fields that an answer has once at most.
 var singleFields = []string{"Content-Type", "Date", "Location", "Transfer-Encoding"}
@@ -21,17 +18,27 @@
 //
 // A head that another answer began, or the same one before it broke off, holds the status line of the answer that follows.
 func (a *Answer) HeadAmbiguity() string {
+	for at := nextStatusLine(a.head, 1); at >= 0; at = nextStatusLine(a.head, at+1) {
+		if !a.First || a.beginsAnewAt(at) || a.repeatsField() {
+			return fmt.Sprintf("a status line within the head: %.*q", maxExcerpt, a.head[at:])
+		}
+	}
 	for _, name := range singleFields {
 		if len(a.Header[name]) > 1 {
 			return "a head with two fields " + name
 		}
 	}
-	for at := nextStatusLine(a.head, 1); at >= 0; at = nextStatusLine(a.head, at+1) {
-		if !a.First || a.beginsAnewAt(at) {
-			return fmt.Sprintf("a status line within the head: %.*q", maxExcerpt, a.head[at:])
+	return ""
+}
+
+// repeatsField reports whether the head has a field twice.
+func (a *Answer) repeatsField() bool {
+	for _, values := range a.Header {
+		if len(values) > 1 {
+			return true
 		}
 	}
-	return ""
+	return false
 }
 
 // beginsAnewAt reports whether the head of a connection's first answer is followed by the same bytes as at its beginning from an index on.
@@ -45,7 +52,7 @@
 // nextStatusLine returns the index of the first status line in b from an index on, -1 without one.
 func nextStatusLine(b []byte, from int) int {
 	for from < len(b) {
-		i := bytes.Index(b[from:], []byte(version))
+		i := bytes.Index(b[from:], protocol)
 		if i < 0 {
 			return -1
 		}
@@ -57,19 +64,23 @@
 	return -1
 }
 
-// isStatusLine reports whether b begins with a version, a status and the byte after it.
+// isStatusLine reports whether b, which begins with the protocol's name, goes on with a version, a status and the byte after it, as net/http accepts them.
 func isStatusLine(b []byte) bool {
-	const length = len("HTTP/1.1 200 ")
-	if len(b) < length || b[len(version)+1] != ' ' {
+	const versionEnd, statusLength = len("HTTP/1.1"), len("200")
+	if len(b) <= versionEnd || !isDigits(b[len(protocol):len(protocol)+1]) || b[len(protocol)+1] != '.' || b[versionEnd] != ' ' {
 		return false
 	}
-	for _, d := range b[len(version)+2 : length-1] {
+	status := bytes.TrimLeft(b[versionEnd:], " ")
+	return len(status) > statusLength && isDigits(status[:statusLength]) && bytes.IndexByte([]byte(" \r\n"), status[statusLength]) >= 0
+}
+
+func isDigits(b []byte) bool {
+	for _, d := range b {
 		if d < '0' || d > '9' {
 			return false
 		}
 	}
-	end := b[length-1]
-	return end == ' ' || end == '\r' || end == '\n'
+	return true
 }
 
 // IsWhole reports whether an answer that doesn't belong to the request is a whole one, so that the next answer begins after it. A copy that broke off in its
@@ -85,7 +96,7 @@
 	}
 	end := a.Body[max(0, len(a.Body)-len(a.start)):]
 	for {
-		i := bytes.Index(end, []byte(version[:shortRest]))
+		i := bytes.Index(end, protocol)
 		if i < 0 {
 			return false
 		}
@@ -140,7 +151,7 @@
 		return "", true
 	case anew:
 		return fmt.Sprintf("a body that holds its answer's head, followed by %.*q", maxExcerpt, rest), false
-	case !bytes.HasPrefix(rest, []byte(version[:shortRest])):
+	case !bytes.HasPrefix(rest, protocol):
 		return fmt.Sprintf("an answer followed by %.*q", maxExcerpt, rest), false
 	}
 	return "", false
--- a/io/kctanswer/reader.go
+++ b/io/kctanswer/reader.go
@@ -81,7 +81,7 @@
 		r.head = append(r.head, b[:n]...)
 	}
 	switch {
-	case n >= shortRest:
+	case n >= len(protocol):
 		r.last = r.last[:0]
 	case n > 0:
 		r.last = append(r.last[:0], b[:n]...)
--- a/io/kctfake/stuttercase.go
+++ b/io/kctfake/stuttercase.go
@@ -54,6 +54,11 @@
 	"after an interim answer": {func(idField string, a StutterAnswer) string {
 		return "HTTP/1.1 103 Early Hints\r\nLink: </style.css>\r\n\r\n" + a.withLength(idField)
 	}, false},
+	"odd spelling": {func(idField string, a StutterAnswer) string {
+		head, body, _ := strings.Cut(a.withLength(idField), "\r\n\r\n")
+		line, fields, _ := strings.Cut(head, "\r\n")
+		return strings.ReplaceAll(strings.Replace(line, " ", "  ", 1)+"\r\n"+strings.ToLower(fields), "\r\n", "\n") + "\n\n" + body
+	}, false},
 	"to the end of the connection": {func(idField string, a StutterAnswer) string {
 		return a.head() + "Connection: close\r\n" + idField + ": " + a.ID + "\r\n\r\n" + a.Body
 	}, true},
