Let the oldest waiting attempt have the next connection, or its place

What callers saw: requests that may not be repeated waited for a minute at an endpoint that had sent one second copy, while others were served.

Cause: a connection that was put back went to the first waiting attempt that it suited. Under load there always was one, so that an attempt that needs a connection of its own never got a place.

Change: the oldest waiting attempt gets the connection, or its place if it doesn't suit.

--- a/io/kctegress/pool.go
+++ b/io/kctegress/pool.go
@@ -210,7 +210,7 @@
 	return c, nil
 }
 
-// put makes a connection available to the oldest waiting attempt that it suits, or to a later one.
+// put makes a connection available to the oldest waiting attempt, or to a later one.
 func (p *Pools) put(c *conn) {
 	now := p.client.timer.Now()
 	p.mu.Lock()
@@ -222,17 +222,16 @@
 		h.RecordAnswer(now, false)
 	}
 	q := p.pools[c.at]
-	i := slices.IndexFunc(q.waiting, func(a *attempt) bool { return p.suits(now, c, a) })
 	switch {
-	case i >= 0:
-		a := q.waiting[i]
-		q.waiting = slices.Delete(q.waiting, i, i+1)
+	case len(q.waiting) > 0 && p.suits(now, c, q.waiting[0]):
+		a := q.waiting[0]
+		q.waiting = q.waiting[1:]
 		c.carry(a)
 		p.mu.Unlock()
 		a.start(c)
 		return
 	case len(q.waiting) > 0 || !p.mayReuse(now, c.at, true):
-		// The place goes to an attempt that needs a connection of its own.
+		// Its place goes to the oldest, which needs a connection of its own.
 		c.interrupt(nil)
 	default:
 		c.idleSince = now
--- a/io/kctegress/stutter_test.go
+++ b/io/kctegress/stutter_test.go
@@ -227,3 +227,45 @@
 		t.Errorf("%d of %d requests failed", failed, requests)
 	}
 }
+
+// TestAttemptThatNeedsItsOwnConnection guards against an attempt that waits for a connection of its own while others take each one that is put back.
+func TestAttemptThatNeedsItsOwnConnection(t *testing.T) {
+	endpoint := serve(t, func(c net.Conn, r *http.Request, _ int) bool {
+		id := r.Header.Get("Id")
+		time.Sleep(time.Millisecond)
+		answer(c, id, "")
+		if id == "twice" {
+			time.Sleep(5 * time.Millisecond)
+			answer(c, id, "")
+		}
+		return true
+	})
+	k := client(t)
+	attempt := func(id string, once bool) {
+		m := &kctport.Message{ID: id, Method: "GET", Target: "/", Host: "h"}
+		if _, err := send(context.Background(), k, endpoint, m, kctport.ExchangeOptions{
+			Deadline: time.Now().Add(time.Second), Connections: 2, NonIdempotent: once,
+		}); err != nil {
+			t.Error(err)
+		}
+	}
+	attempt("twice", false)
+	time.Sleep(50 * time.Millisecond)
+	ctx, stop := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for i := range 6 {
+		group.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				attempt(fmt.Sprint(i, "-", n), false)
+			}
+		})
+	}
+	time.Sleep(20 * time.Millisecond)
+	began := time.Now()
+	attempt("once", true)
+	if waited := time.Since(began); waited > 200*time.Millisecond {
+		t.Errorf("answered after %v", waited)
+	}
+	stop()
+	group.Wait()
+}
