Drop fewer sound answers, and more that are made of two

What callers saw: 502 from endpoints that repeat a date field, add a line end or other bytes to an answer, send a body for HEAD or 304, have a status line in a trailer, or send three interim answers, and for identifiers that look like a status line; and answers whose last chunk, or whose body to the end of the connection, held their own copy, above all one of another date.

Cause: a repeated field and bytes after an answer were taken for proof. In a chunk, or without a length, a copy leaves nothing behind it, so that nothing showed it. Any dropped answer, also one that was too long, and the notice 408 of a server that closes an idle connection, counted as evidence against an endpoint.

Change: - Bytes after an answer count only if its body may hold a part of another one: a status line's beginning, or letters of it that what follows continues. - A body must not hold a status line with the identifier of this request, or of the one before, in its head. It holds in any framing and for copies that are not the same byte for byte. - The rest of a copy is waited for during 30 ms after answers in pieces of endpoints that are known for second copies, or whose body holds the beginning of their own answer. - Repeated fields count only beside a status line in a connection's first head. A status line in the identifier that the endpoint repeats doesn't count. - A refusal with a status line in its head is never taken for 'not run'. - Evidence is what is shown to be a second copy; a log line 'second answers' says when an address is first suspected. - Interim answers are bounded by the size of their heads, not by their number.

--- a/core/kctreuse/history.go
+++ b/core/kctreuse/history.go
@@ -36,8 +36,8 @@
 	h.shareAt = now
 }
 
-// RecordStray records bytes that came on a connection on which no answer was due.
-func (h *History) RecordStray(now time.Time) { h.copyAt = now }
+// RecordCopy records bytes beyond the answers that were due.
+func (h *History) RecordCopy(now time.Time) { h.copyAt = now }
 
 // dropShare returns the smoothed share, which decays while there are no answers.
 func (h *History) dropShare(now time.Time) float64 {
--- a/io/kctanswer/check.go
+++ b/io/kctanswer/check.go
@@ -3,37 +3,73 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
+	"time"
 )
 
-// maxExcerpt is the largest part of an answer in bytes that a reason quotes.
-const maxExcerpt = 80
+const (
+	// maxExcerpt is the largest part of an answer in bytes that a reason quotes.
+	maxExcerpt = 80
+	// shortGap and longGap are how long the rest of a second copy is waited for when its beginning may be part of an answer: shortGap for the rest of a write, longGap
+	// for the next one of an endpoint that writes in pieces.
+	shortGap = 5 * time.Millisecond
+	longGap  = 30 * time.Millisecond
+)
 
 // protocol is the beginning of each status line.
 var protocol = []byte("HTTP/")
 
-// singleFields are fields that an answer has once at most.
-var singleFields = []string{"Content-Type", "Date", "Location", "Transfer-Encoding"}
+// Context is what is known of the request whose answer is read, and of its connection.
+type Context struct {
+	// ID is the request's identifier, FormerID that of the request before it on the connection.
+	ID, FormerID string
+	// Suspected is set when the endpoint is known for second copies.
+	Suspected bool
+}
+
+// Connection is what the end of an answer is checked on.
+type Connection interface {
+	// Peek returns the next bytes that have arrived, without waiting for them or taking them.
+	Peek() []byte
+	// WaitForMore waits for bytes that follow, and reports whether they have come.
+	WaitForMore(wait time.Duration) bool
+}
+
+// HoldsStatusLine reports whether a status line is within the head, outside of the request's identifier, which an endpoint repeats.
+func (a *Answer) HoldsStatusLine(id string) bool { return a.statusLineInHead(id, 1) >= 0 }
+
+// statusLineInHead returns the index of the first status line within the head from an index on, -1 without one.
+func (a *Answer) statusLineInHead(id string, from int) int {
+	for {
+		at := nextStatusLine(a.head, from)
+		if at < 0 || !isWithin(a.head, at, id) {
+			return at
+		}
+		from = at + 1
+	}
+}
+
+// isWithin reports whether an index of b is in a part of it that has the bytes of id.
+func isWithin(b []byte, at int, id string) bool {
+	begin, end := max(0, at-len(id)+1), min(len(b), at+len(id))
+	return id != "" && bytes.Contains(b[begin:end], []byte(id))
+}
 
 // HeadAmbiguity returns why the head may consist of parts of two, empty when it can't.
 //
 // A head that another answer began, or the same one before it broke off, holds the status line of the answer that follows.
-func (a *Answer) HeadAmbiguity() string {
-	for at := nextStatusLine(a.head, 1); at >= 0; at = nextStatusLine(a.head, at+1) {
-		if !a.First || a.beginsAnewAt(at) || a.repeatsField() {
+func (a *Answer) HeadAmbiguity(c Context) string {
+	for at := a.statusLineInHead(c.ID, 1); at >= 0; at = a.statusLineInHead(c.ID, at+1) {
+		if !a.First || a.beginsAnewAt(at) || repeatsField(a.Header) {
 			return fmt.Sprintf("a status line within the head: %.*q", maxExcerpt, a.head[at:])
 		}
 	}
-	for _, name := range singleFields {
-		if len(a.Header[name]) > 1 {
-			return "a head with two fields " + name
-		}
-	}
 	return ""
 }
 
-// repeatsField reports whether the head has a field twice.
-func (a *Answer) repeatsField() bool {
-	for _, values := range a.Header {
+// repeatsField reports whether a head has a field twice.
+func repeatsField(h http.Header) bool {
+	for _, values := range h {
 		if len(values) > 1 {
 			return true
 		}
@@ -49,48 +85,39 @@
 	return bytes.Equal(again[:n], brokenOff[:n])
 }
 
-// nextStatusLine returns the index of the first status line in b from an index on, -1 without one.
-func nextStatusLine(b []byte, from int) int {
-	for from < len(b) {
-		i := bytes.Index(b[from:], protocol)
-		if i < 0 {
-			return -1
-		}
-		if from += i; isStatusLine(b[from:]) {
-			return from
+// IsWhole reports whether an answer that doesn't belong to the request is a whole one, so that the next answer begins after it. A copy that broke off in its
+// body or trailer would have taken the status line of the next answer for a part of it.
+func (a *Answer) IsWhole() bool {
+	return a.framed && nextStatusLine(a.head, 1) < 0 && nextStatusLine(a.Body, 0) < 0 && !a.trailerHoldsStatusLine()
+}
+
+// trailerHoldsStatusLine reports whether a field after the body holds a status line.
+func (a *Answer) trailerHoldsStatusLine() bool {
+	for _, values := range a.trailer {
+		for _, v := range values {
+			if nextStatusLine([]byte(v+"\n"), 0) >= 0 {
+				return true
+			}
 		}
-		from++
 	}
-	return -1
+	return false
 }
 
-// isStatusLine reports whether b, which begins with the protocol's name, goes on with a version, a status and the byte after it, as net/http accepts them.
-func isStatusLine(b []byte) bool {
-	const versionEnd, statusLength = len("HTTP/1.1"), len("200")
-	if len(b) <= versionEnd || !isDigits(b[len(protocol):len(protocol)+1]) || b[len(protocol)+1] != '.' || b[versionEnd] != ' ' {
+// trailerBeginsAnew reports whether the trailer may go over into another answer, whose fields it then holds.
+func (a *Answer) trailerBeginsAnew() bool {
+	if !a.trailerHoldsStatusLine() {
 		return false
 	}
-	status := bytes.TrimLeft(b[versionEnd:], " ")
-	return len(status) > statusLength && isDigits(status[:statusLength]) && bytes.IndexByte([]byte(" \r\n"), status[statusLength]) >= 0
-}
-
-func isDigits(b []byte) bool {
-	for _, d := range b {
-		if d < '0' || d > '9' {
-			return false
+	for name := range a.trailer {
+		if len(a.Header[name]) > 0 {
+			return true
 		}
 	}
-	return true
-}
-
-// IsWhole reports whether an answer that doesn't belong to the request is a whole one, so that the next answer begins after it. A copy that broke off in its
-// body would have taken the status line of the next answer for a part of it.
-func (a *Answer) IsWhole() bool {
-	return a.framed && nextStatusLine(a.head, 1) < 0 && nextStatusLine(a.Body, 0) < 0
+	return false
 }
 
-// beginsAnew reports whether the body holds the beginning of its own answer: all of its head, or what fits at the end of the body.
-func (a *Answer) beginsAnew() bool {
+// bodyBeginsAnew reports whether the body holds the beginning of its own answer: all of its head, or what fits at the end of the body.
+func (a *Answer) bodyBeginsAnew() bool {
 	if bytes.Contains(a.Body, a.start) {
 		return true
 	}
@@ -107,64 +134,97 @@
 	}
 }
 
-// trailerHoldsStatusLine reports whether a field after the body holds a status line.
-func (a *Answer) trailerHoldsStatusLine() bool {
-	for _, values := range a.trailer {
-		for _, v := range values {
-			if nextStatusLine([]byte(v+"\n"), 0) >= 0 {
-				return true
-			}
+// holdsHeadOf reports whether the body holds the head of an answer to a request, or the part of it up to its identifier.
+func (a *Answer) holdsHeadOf(id string) bool {
+	if id == "" {
+		return false
+	}
+	for at := nextStatusLine(a.Body, 0); at >= 0; {
+		head := a.Body[at:]
+		end := bytes.Index(head, []byte("\r\n\r\n"))
+		if end < 0 {
+			return bytes.Contains(head, []byte(id))
 		}
+		if bytes.Contains(head[:end], []byte(id)) {
+			return true
+		}
+		at = nextStatusLine(a.Body, at+end)
 	}
 	return false
 }
 
-// Connection is what an Answer's end is checked on.
-type Connection interface {
-	// Peek returns the next bytes that have arrived, without waiting for them or taking them.
-	Peek() []byte
-	// WaitForMore waits shortly for bytes that follow, and reports whether they have come.
-	WaitForMore() bool
-}
-
 // EndAmbiguity returns why the end of the last answer may belong to another one, empty when it doesn't, and whether nothing has come after it.
 //
-// If an answer breaks off in its body and its copy fills up the body, the rest of the copy follows; bytes put into an answer push as many of its own beyond
-// its end. Only the beginning of another answer may follow.
-func (r *Reader) EndAmbiguity(a *Answer, c Connection) (reason string, clean bool) {
-	if a.trailerHoldsStatusLine() {
-		return "a status line within a trailer", false
-	}
-	anew := a.beginsAnew()
-	if !a.framed {
-		if anew || len(r.last) > 0 && bytes.HasPrefix(a.start, r.last) {
-			return "a body without a length that holds its answer's head", false
-		}
+// If an answer breaks off in its body and its copy fills up the body, the rest of the copy follows; bytes put into a body push as many of its own beyond its
+// end.
+func (r *Reader) EndAmbiguity(a *Answer, c Context, conn Connection) (reason string, clean bool) {
+	holdsProtocol := bytes.Contains(a.Body, protocol)
+	anew := holdsProtocol && a.bodyBeginsAnew()
+	switch {
+	case a.trailerBeginsAnew():
+		return "a trailer that goes over into an answer", false
+	case holdsProtocol && (a.holdsHeadOf(c.ID) || a.holdsHeadOf(c.FormerID)):
+		return "a body that holds the head of an answer to this request or the one before", false
+	case !a.framed && (anew || r.reads > 1 && bytes.HasPrefix(a.start, r.last)):
+		return "a body without a length that holds its answer's head", false
+	case !a.framed:
 		return "", true
 	}
-	rest := r.rest(c)
-	if len(rest) == 0 && anew && c.WaitForMore() {
-		rest = r.rest(c)
+	rest := r.rest(conn)
+	if wait := r.gap(a, anew, c.Suspected); len(rest) == 0 && wait > 0 && conn.WaitForMore(wait) {
+		rest = r.rest(conn)
 	}
 	switch {
 	case len(rest) == 0:
 		return "", true
 	case anew:
 		return fmt.Sprintf("a body that holds its answer's head, followed by %.*q", maxExcerpt, rest), false
-	case !bytes.HasPrefix(rest, protocol):
-		return fmt.Sprintf("an answer followed by %.*q", maxExcerpt, rest), false
+	case mayHoldPartOf(a.Body, rest):
+		return fmt.Sprintf("a body that may hold a part of another answer, followed by %.*q", maxExcerpt, rest), false
 	}
 	return "", false
 }
 
+// gap returns how long the rest of a second copy is waited for, 0 for not at all.
+func (r *Reader) gap(a *Answer, anew, suspected bool) time.Duration {
+	inPieces := r.reads > 1
+	switch {
+	case inPieces && (suspected || anew):
+		return longGap
+	case anew || inPieces && endsInBeginning(a.Body) > 0:
+		return shortGap
+	}
+	return 0
+}
+
+// endsInBeginning returns the number of bytes at the end of a body, less than those of the protocol's name, with which another answer may begin.
+func endsInBeginning(body []byte) int {
+	for n := len(protocol) - 1; n > 0; n-- {
+		if bytes.HasSuffix(body, protocol[:n]) {
+			return n
+		}
+	}
+	return 0
+}
+
+// mayHoldPartOf reports whether a body may hold bytes of the answer of which rest is left, or of another one that pushed rest beyond its end.
+func mayHoldPartOf(body, rest []byte) bool {
+	isAnswer := bytes.HasPrefix(rest, protocol)
+	if bytes.Contains(body, protocol) {
+		return !isAnswer
+	}
+	if n := endsInBeginning(body); n > 0 && bytes.HasPrefix(rest, protocol[n:min(len(protocol), n+len(rest))]) {
+		return true
+	}
+	return len(rest) < len(protocol) && bytes.Contains(body, protocol[:len(rest)])
+}
+
 // rest returns the bytes after the last answer that have arrived.
 func (r *Reader) rest(c Connection) []byte {
-	if n := r.buffer.Buffered(); n > 0 {
-		// Peeking at what is buffered can't fail.
-		rest, _ := r.buffer.Peek(n)
-		return rest
-	}
-	if r.drained {
+	switch buffered := r.Peek(); {
+	case len(buffered) > 0:
+		return buffered
+	case r.drained:
 		return nil
 	}
 	return c.Peek()
--- a/io/kctanswer/reader.go
+++ b/io/kctanswer/reader.go
@@ -14,6 +14,8 @@
 	readBuffer = 2 << 10
 	// maxHead is the largest accepted head of an answer in bytes; the users' callers may send 16 KiB.
 	maxHead = 64 << 10
+	// maxLast is the number of bytes that are kept of the last read.
+	maxLast = 64
 	// keptHead is the largest memory in bytes that is kept for the next head.
 	keptHead = 4 << 10
 )
@@ -47,9 +49,10 @@
 	readingHead bool
 	// afterInterim is set while the last answer is an interim one.
 	afterInterim bool
-	// drained is set when the last read took all that the connection had.
+	// drained is set when the last read took all that the connection had; reads counts those since the first byte of the answer.
 	drained bool
-	// last holds the bytes of the last read, empty when they were many.
+	reads   int
+	// last holds the first bytes of the last read.
 	last []byte
 	// answers counts the final answers read.
 	answers int
@@ -80,11 +83,9 @@
 	if r.readingHead {
 		r.head = append(r.head, b[:n]...)
 	}
-	switch {
-	case n >= len(protocol):
-		r.last = r.last[:0]
-	case n > 0:
-		r.last = append(r.last[:0], b[:n]...)
+	if n > 0 {
+		r.reads++
+		r.last = append(r.last[:0], b[:min(n, maxLast)]...)
 	}
 	return n, err
 }
@@ -101,7 +102,7 @@
 // Next reads the next answer to a request of a method, interim ones included; limit bounds its body in bytes.
 func (r *Reader) Next(method string, bodies *kctbody.Reader, limit int) (*Answer, error) {
 	if !r.afterInterim {
-		r.head = r.head[:0]
+		r.head, r.reads = r.head[:0], min(1, r.buffer.Buffered())
 	}
 	begin := len(r.head)
 	var request *http.Request
@@ -134,9 +135,7 @@
 	if len(r.head) == 0 && cap(r.head) > keptHead {
 		r.head = nil
 	}
-	// Peeking at what is buffered can't fail.
-	buffered, _ := r.buffer.Peek(r.buffer.Buffered())
-	r.head, r.readingHead = append(r.head, buffered...), true
+	r.head, r.readingHead = append(r.head, r.Peek()...), true
 	raw, err := http.ReadResponse(r.buffer, request)
 	r.readingHead = false
 	if err == nil {
@@ -145,8 +144,15 @@
 	return raw, err
 }
 
-// Buffered returns the number of bytes after the last answer that have been read from the connection.
-func (r *Reader) Buffered() int { return r.buffer.Buffered() }
+// Peek returns what has been read from the connection and is not part of an answer yet.
+func (r *Reader) Peek() []byte {
+	// Peeking at what is buffered can't fail.
+	buffered, _ := r.buffer.Peek(r.buffer.Buffered())
+	return buffered
+}
+
+// BeginsAnew reports whether the head that was read last, or what is none, holds a second status line.
+func (r *Reader) BeginsAnew() bool { return nextStatusLine(r.head, 1) >= 0 }
 
 // Answers returns the number of final answers read.
 func (r *Reader) Answers() int { return r.answers }
--- a/io/kctegress/client.go
+++ b/io/kctegress/client.go
@@ -35,15 +35,27 @@
 	pools   *Pools
 	bodies  kctbody.Reader
 	// seed is that of the hashes of identifiers.
-	seed maphash.Seed
+	seed         maphash.Seed
+	onSecondCopy func(endpoint netip.AddrPort)
 }
 
 var _ kctport.Exchanger = (*Client)(nil)
 
+// Option configures a Client in New.
+type Option func(*Client)
+
+// WithOnSecondCopy calls f when an endpoint has sent bytes beyond its answers for the first time in a while.
+func WithOnSecondCopy(f func(endpoint netip.AddrPort)) Option {
+	return func(c *Client) { c.onSecondCopy = f }
+}
+
 // New returns a client without connections.
-func New(timer kctport.Timer, dialect kctport.Dialect) *Client {
-	c := &Client{timer: timer, dialect: dialect, seed: maphash.MakeSeed()}
+func New(timer kctport.Timer, dialect kctport.Dialect, opts ...Option) *Client {
+	c := &Client{timer: timer, dialect: dialect, seed: maphash.MakeSeed(), onSecondCopy: func(netip.AddrPort) {}}
 	c.pools = newPools(c)
+	for _, o := range opts {
+		o(c)
+	}
 	return c
 }
 
@@ -73,13 +85,6 @@
 	return c.pools.counts
 }
 
-// count changes the counts.
-func (c *Client) count(change func(*Counts)) {
-	c.pools.mu.Lock()
-	defer c.pools.mu.Unlock()
-	change(&c.pools.counts)
-}
-
 // Open begins the attempts at a message; when the context is cancelled, their connections are closed.
 func (c *Client) Open(ctx context.Context, m *kctport.Message) kctport.Exchange {
 	x := &exchange{client: c, ctx: ctx, message: m}
--- a/io/kctegress/conn.go
+++ b/io/kctegress/conn.go
@@ -27,8 +27,6 @@
 	keepAliveMargin = 300 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept when its endpoint states no idle timeout.
 	defaultIdleTimeout = 4 * time.Second
-	// copyGap is how long the rest of a second copy is waited for when its beginning may be part of an answer.
-	copyGap = 5 * time.Millisecond
 	// maxCarried is the number of requests on a connection whose identifiers are kept.
 	maxCarried = 32
 	// maxPeek is the number of bytes after an answer that are looked at.
@@ -41,10 +39,11 @@
 	net.Conn
 	client *Client
 	at     netip.AddrPort
-	// idleSince is when the connection was last put back; carried holds the hashes of the last identifiers for which it was used, in a ring, and uses their
-	// number. The lock of the pools guards them.
+	// idleSince is when the connection was last put back; carried holds the hashes of the last identifiers for which it was used, in a ring, lastID the last one, and
+	// uses their number. The lock of the pools guards them.
 	idleSince time.Time
 	carried   [maxCarried]uint64
+	lastID    string
 	uses      int
 
 	mu sync.Mutex
@@ -95,6 +94,7 @@
 
 // carry records the use of the connection for an attempt.
 func (c *conn) carry(a *attempt) {
+	a.formerID, c.lastID = c.lastID, a.exchange.message.ID
 	c.carried[c.uses%maxCarried] = a.hash
 	c.uses++
 }
@@ -189,7 +189,7 @@
 	c.mu.Unlock()
 	if a == nil {
 		if err == nil {
-			c.client.pools.recordStray(c)
+			c.recordStray()
 		}
 		// The endpoint closed the idle connection, sent bytes that belong to no request, or the connection was idle for too long.
 		return false
@@ -199,9 +199,6 @@
 		return false
 	}
 	response, keep, err := c.readAnswer(a)
-	if errors.Is(err, kctport.ErrMismatch) {
-		c.client.pools.recordDropped(c)
-	}
 	if err != nil || !keep || !c.endWrite() {
 		a.finish(response, err)
 		return false
@@ -210,6 +207,13 @@
 	return c.endAttempt()
 }
 
+// recordStray records bytes on the idle connection, unless they only announce its end.
+func (c *conn) recordStray() {
+	if !kctanswer.IsTimeoutNotice(c.reader.Peek()) {
+		c.client.pools.recordCopy(c, func(n *Counts) { n.Strays++ })
+	}
+}
+
 // endWrite reports whether the whole request has been written; the endpoint would parse the rest of a body as the next request.
 func (c *conn) endWrite() bool {
 	c.mu.Lock()
@@ -251,7 +255,7 @@
 		t.first.start(c)
 		return true
 	}
-	c.client.pools.put(c)
+	c.client.pools.put(c, true)
 	t.answered.finish(t.response, nil)
 	return true
 }
@@ -283,35 +287,46 @@
 // connection can be reused. What may be bytes of two answers is dropped.
 func (c *conn) readAnswer(a *attempt) (kctport.Response, bool, error) {
 	message := a.exchange.message
-	for range maxStaleAnswers + 1 {
+	known := kctanswer.Context{ID: message.ID, FormerID: a.formerID, Suspected: c.client.pools.isSuspected(c.at)}
+	for skipped := 0; ; {
 		answer, err := c.reader.Next(message.Method, &c.client.bodies, maxBody)
 		if err != nil {
 			return kctport.Response{}, false, c.readError(a, err)
 		}
-		if reason := answer.HeadAmbiguity(); reason != "" {
-			return kctport.Response{}, false, c.dropped(kctport.ErrMismatch, reason)
+		if reason := answer.HeadAmbiguity(known); reason != "" {
+			return c.ambiguous(reason)
 		}
 		if answer.Interim() {
 			continue
 		}
 		response, id := c.client.dialect.Response(answer.Status, kctport.Header(answer.Header))
 		c.recordIdleTimeout(answer.Header)
-		if id != message.ID && !acceptWithoutID(a, answer, id, &response) {
-			if answer.Close || !answer.IsWhole() {
-				break
+		switch {
+		case id == message.ID || acceptWithoutID(a, answer, id, &response):
+			if response.NotRun && answer.HoldsStatusLine(message.ID) {
+				return c.ambiguous("a refusal with a status line within its head")
 			}
-			// This is a second answer to an earlier request; the answer to this request follows.
-			c.client.count(func(n *Counts) { n.Skipped++ })
-			continue
-		}
-		reason, clean := c.reader.EndAmbiguity(answer, c)
-		if reason != "" {
-			return kctport.Response{}, false, c.dropped(kctport.ErrMismatch, reason)
+			reason, clean := c.reader.EndAmbiguity(answer, known, c)
+			if reason != "" {
+				return c.ambiguous(reason)
+			}
+			response.Body = answer.Body
+			return response, clean && !answer.Close, nil
+		case !answer.IsWhole():
+			return c.ambiguous("an answer to another request that may hold a part of this one's")
+		case answer.Close || skipped == maxStaleAnswers:
+			return c.ambiguous("answers to other requests only")
 		}
-		response.Body = answer.Body
-		return response, clean && !answer.Close, nil
+		// This is a second answer to an earlier request; the answer to this request follows.
+		skipped++
+		c.client.pools.recordCopy(c, func(n *Counts) { n.Skipped++ })
 	}
-	return kctport.Response{}, false, c.dropped(kctport.ErrMismatch, "the answers belong to other requests")
+}
+
+// ambiguous returns the outcome of an attempt whose answer may be of another request, or hold bytes of one that is.
+func (c *conn) ambiguous(reason string) (kctport.Response, bool, error) {
+	c.client.pools.recordDropped(c)
+	return kctport.Response{}, false, c.dropped(kctport.ErrMismatch, reason)
 }
 
 // Peek returns the next bytes that have arrived and are not read yet.
@@ -326,16 +341,22 @@
 }
 
 // WaitForMore waits for bytes that follow an answer, and reports whether they have come.
-func (c *conn) WaitForMore() bool {
+func (c *conn) WaitForMore(wait time.Duration) bool {
 	c.mu.Lock()
-	isOpen := !c.closed && c.SetReadDeadline(c.client.timer.Now().Add(copyGap)) == nil
+	isOpen := !c.closed && c.SetReadDeadline(c.client.timer.Now().Add(wait)) == nil
 	c.mu.Unlock()
 	return isOpen && c.reader.Wait() == nil
 }
 
 // readError classifies an error of reading an answer.
 func (c *conn) readError(a *attempt, err error) error {
-	if isMalformed(err) {
+	switch {
+	case errors.Is(err, kctport.ErrMismatch):
+		return c.dropped(err, "too large")
+	case isMalformed(err):
+		if c.reader.BeginsAnew() {
+			c.client.pools.recordDropped(c)
+		}
 		return c.dropped(errors.Join(kctport.ErrReset, kctport.ErrMismatch), kctbody.ErrorText(err))
 	}
 	return classifyError(a.exchange.ctx, true, err)
--- a/io/kctegress/exchange.go
+++ b/io/kctegress/exchange.go
@@ -100,8 +100,9 @@
 	endpoint *kctport.EndpointRecord
 	options  kctport.ExchangeOptions
 	done     func(kctport.Response, error)
-	// hash is that of the message's identifier.
-	hash uint64
+	// hash is that of the message's identifier; formerID is the identifier of the request before on the connection.
+	hash     uint64
+	formerID string
 	// conn is set once the request is about to be sent.
 	conn  atomic.Pointer[conn]
 	ended atomic.Bool
@@ -129,7 +130,7 @@
 		problem = "endpoint " + string(a.endpoint.ID) + " left while the attempt waited"
 	}
 	if problem != "" {
-		x.client.pools.put(c)
+		x.client.pools.put(c, false)
 		a.finish(kctport.Response{}, eris.Wrap(errNotSent, problem))
 		return
 	}
--- a/io/kctegress/pool.go
+++ b/io/kctegress/pool.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -39,9 +40,10 @@
 	// conns holds all open connections; none may be added once closed is set.
 	conns  map[*conn]struct{}
 	closed bool
-	// histories holds the addresses whose endpoints have sent second copies of answers.
-	histories map[netip.AddrPort]*kctreuse.History
-	counts    Counts
+	// histories holds the addresses whose endpoints have sent second copies of answers; anySuspected is set once there was one.
+	histories    map[netip.AddrPort]*kctreuse.History
+	anySuspected atomic.Bool
+	counts       Counts
 	// readers counts the goroutines of connections, including those being opened.
 	readers sync.WaitGroup
 }
@@ -116,36 +118,54 @@
 	return h == nil || h.MayReuse(now, repeatable)
 }
 
-// recordStray records that the endpoint sent bytes on an idle connection.
-func (p *Pools) recordStray(c *conn) {
+// isSuspected reports whether the endpoint at an address is known for second copies.
+func (p *Pools) isSuspected(at netip.AddrPort) bool {
+	if !p.anySuspected.Load() {
+		return false
+	}
 	now := p.client.timer.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.counts.Strays++
-	p.history(now, c.at).RecordStray(now)
+	h := p.histories[at]
+	return h != nil && !h.IsOver(now)
+}
+
+// recordCopy records bytes beyond the answers that were due on a connection.
+func (p *Pools) recordCopy(c *conn, change func(*Counts)) {
+	p.record(c, func(h *kctreuse.History, now time.Time) {
+		change(&p.counts)
+		h.RecordCopy(now)
+	})
 }
 
-// recordDropped records an answer that was dropped, since it may hold bytes of others.
+// recordDropped records an answer that was dropped, since it may hold bytes of another one.
 func (p *Pools) recordDropped(c *conn) {
-	now := p.client.timer.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if h := p.history(now, c.at); c.uses > 1 {
-		h.RecordAnswer(now, true)
-	} else {
-		h.RecordStray(now)
-	}
+	p.record(c, func(h *kctreuse.History, now time.Time) {
+		if c.uses > 1 {
+			h.RecordAnswer(now, true)
+		} else {
+			h.RecordCopy(now)
+		}
+	})
 }
 
-// history returns the history of an address, a new one if there is none; the caller holds the lock.
-func (p *Pools) history(now time.Time, at netip.AddrPort) *kctreuse.History {
-	h := p.histories[at]
-	if h == nil {
+// record adds evidence to the history of a connection's address.
+func (p *Pools) record(c *conn, add func(h *kctreuse.History, now time.Time)) {
+	now := p.client.timer.Now()
+	p.mu.Lock()
+	h := p.histories[c.at]
+	isNew := h == nil || h.IsOver(now)
+	if isNew {
 		maps.DeleteFunc(p.histories, func(_ netip.AddrPort, other *kctreuse.History) bool { return other.IsOver(now) })
 		h = &kctreuse.History{}
-		p.histories[at] = h
+		p.histories[c.at] = h
+		p.anySuspected.Store(true)
+	}
+	add(h, now)
+	p.mu.Unlock()
+	if isNew {
+		p.client.onSecondCopy(c.at)
 	}
-	return h
 }
 
 // withdraw removes a waiting attempt; false means that it is no longer waiting.
@@ -210,15 +230,15 @@
 	return c, nil
 }
 
-// put makes a connection available to the oldest waiting attempt, or to a later one.
-func (p *Pools) put(c *conn) {
+// put makes a connection available to the oldest waiting attempt, or to a later one; answered is set when it has carried an answer since it was reserved.
+func (p *Pools) put(c *conn, answered bool) {
 	now := p.client.timer.Now()
 	p.mu.Lock()
 	if _, ok := p.conns[c]; !ok {
 		p.mu.Unlock()
 		return
 	}
-	if h := p.histories[c.at]; h != nil && c.uses > 1 {
+	if h := p.histories[c.at]; h != nil && answered && c.uses > 1 {
 		h.RecordAnswer(now, false)
 	}
 	q := p.pools[c.at]
--- a/io/kctfake/stutter.go
+++ b/io/kctfake/stutter.go
@@ -34,6 +34,8 @@
 	// Copy makes a second copy follow, of which all bytes from CopyEnd on are left out unless CopyEnd is 0.
 	Copy    bool
 	CopyEnd int
+	// Edit changes the copy, nil for one that is the same.
+	Edit func(answer string) string
 	// InNext puts the copy behind that many bytes of the connection's next answer, in the same write, 0 before its first byte; otherwise the copy is written
 	// after Delay, or together with the answer when Delay is 0.
 	InNext *int
@@ -143,6 +145,9 @@
 	var again []byte
 	if p.Copy {
 		again = answer
+		if p.Edit != nil {
+			again = []byte(p.Edit(string(answer)))
+		}
 		if p.CopyEnd > 0 {
 			again = again[:min(p.CopyEnd, len(again))]
 		}
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -118,7 +118,9 @@
 		kctfleet.WithZones(settings.Zones), kctfleet.WithApplyDeadline(settings.Apply), kctfleet.WithHeartbeat(settings.Heartbeat),
 		kctfleet.WithChecker(kctcheck.New(n.reportViolation)), kctfleet.WithSuspicions(memory),
 		kctfleet.WithExposure(kctmove.Exposure{Share: settings.Expose, Slack: settings.ExposeSlack}))
-	n.egress = kctegress.New(n.timer, kctadapter.Dialect{})
+	n.egress = kctegress.New(n.timer, kctadapter.Dialect{}, kctegress.WithOnSecondCopy(func(endpoint netip.AddrPort) {
+		log.LogChange("second answers", endpoint.String(), "requests that may not be repeated get connections of their own", 0)
+	}))
 	n.suspects = kctsuspect.NewDetector(memory, n.egress, kctsuspect.WithReport(n.control.Report), kctsuspect.WithOnCrash(log.LogCrash))
 	n.metrics.RegisterFleet(n.control, n.timer, n.policies.Balancer, kctmetric.Counters{
 		Egress: n.egress.Counts, Dropped: n.droppedLines, Losses: n.control.ContactLosses, DroppedReports: n.control.DroppedReports,
