Don't hold the lock while waiting for relay sessions at a stop

Client.Run held the mutex of the client while it waited for each session that was being opened. Client.open, when its dial failed, called forget, which needs the mutex, before it closed the channel that Run waited for. A goroutine dump of the new test shows Run, open and forget in these places, and Exchange waiting for the same mutex, so that attempts that began meanwhile hung too.

Before: TestStopDuringDial fails at once ("the client still runs 5 s after a stop 0s after the attempts began").

--- a/io/kctrelay/client.go
+++ b/io/kctrelay/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,11 +44,13 @@
 		<-ctx.Done()
 		c.mu.Lock()
 		c.closed = true
-		for _, s := range c.sessions {
+		sessions := slices.Collect(maps.Values(c.sessions))
+		c.mu.Unlock()
+		for _, s := range sessions {
+			// A session that can't be opened needs the lock before this.
 			<-s.opened
 			s.close()
 		}
-		c.mu.Unlock()
 		c.readers.Wait()
 	}()
 	return done
--- a/io/kctrelay/relay_test.go
+++ b/io/kctrelay/relay_test.go
@@ -14,6 +14,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kctrelay"
 	"kingcupturn/io/kcttimer"
 )
@@ -173,3 +174,35 @@
 		t.Errorf("after the connection recovered: %v", err)
 	}
 }
+
+// TestStopDuringDial guards against a client that never ends when it stops while a session with a machine that is gone is being opened.
+func TestStopDuringDial(t *testing.T) {
+	gone, free, err := kctloopback.Silence(netip.MustParseAddrPort("127.0.0.1:0"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer free()
+	for after := time.Duration(0); after <= 240*time.Millisecond; after += 20 * time.Millisecond {
+		client := kctrelay.NewClient(kcttimer.New())
+		ctx, stop := context.WithCancel(t.Context())
+		running := client.Run(ctx)
+		var attempts sync.WaitGroup
+		for i := range 3 {
+			attempts.Go(func() {
+				m := message()
+				via := kctport.EntryRecord{ID: kctport.InstanceID(rune('a' + i)), Relay: gone}
+				if _, err := client.Exchange(t.Context(), via, &kctport.EndpointRecord{}, m, kctport.ExchangeOptions{Deadline: m.Deadline}); !errors.Is(err, kctport.ErrNotRun) {
+					t.Errorf("error %v, want ErrNotRun", err)
+				}
+			})
+		}
+		time.Sleep(after)
+		stop()
+		select {
+		case <-running:
+		case <-time.After(5 * time.Second):
+			t.Fatalf("the client still runs 5 s after a stop %v after the attempts began", after)
+		}
+		attempts.Wait()
+	}
+}
