Write error lines to standard output only, so that they don't block

Nobody reported it; found by reading for places that wait while they hold a lock. When nobody read the standard error of an entry on the users' platform, the first error line, such as that of settings that are not valid, made the entry silent: callers got no answers from then on.

klog.LogToStderr(false) still lets klog write lines of the severity ERROR to standard error itself, beside the output that is set, under the lock that each log line takes, so that the writer which never blocks was passed by. kctlog.Install also sets klog's threshold for standard error, and one_output, without which an error line is written three times.

Before: TestUnreadOutput fails, "after settings that are not valid: context deadline exceeded", with standard output and error on a full pipe. After: it passes, 2 of 2.

--- a/cmd/kingcupturn/serve.go
+++ b/cmd/kingcupturn/serve.go
@@ -49,8 +49,9 @@
 // block the entry: lines are dropped instead.
 func serve(ctx context.Context, settings kctsetting.Serving, path string, args []string) error {
 	log := kctlog.New(os.Stdout)
-	klog.LogToStderr(false)
-	klog.SetOutput(log)
+	if err := kctlog.Install(log); err != nil {
+		return err
+	}
 	logContext, stopLog := context.WithCancel(context.WithoutCancel(ctx))
 	logDone := log.Run(logContext)
 	node := kctnode.New(settings, kctnode.WithDroppedLines(log.Dropped))
