Bound the stop of a process by a deadline of its own

By reading, three more places waited without a bound: an entry waited for its control goroutine before it began to drain, so that callers were cut if that hung; it waited at the end for its log, which nobody may read; and the last error was printed to standard error.

The deadline is 0.3 s before the end of the grace time on the users' platform, later than the answers to all requests (0.65 s before it), so that nothing that was accepted is lost by it. An entry withdraws from the directory beside the drain. The own interface has no grace time; it waits 12 s for its parts after the last request, longer than its sessions with other entries drain (10 s), and goes on draining when its control goroutine doesn't answer within 1 s.

--- a/cmd/kingcupturn/main.go
+++ b/cmd/kingcupturn/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"k8s.io/klog/v2"
@@ -54,11 +55,27 @@
 		return 0
 	}
 	if !errors.Is(err, flag.ErrHelp) {
-		fmt.Fprintln(os.Stderr, "kingcupturn:", err)
+		printError(err)
 	}
 	return kctoperator.Code(err)
 }
 
+// printTimeout bounds the wait for someone who reads standard error, so that a process that stops ends.
+const printTimeout = 50 * time.Millisecond
+
+// printError prints an error, unless nobody reads standard error.
+func printError(err error) {
+	printed := make(chan struct{})
+	go func() {
+		defer close(printed)
+		fmt.Fprintln(os.Stderr, "kingcupturn:", err)
+	}()
+	select {
+	case <-printed:
+	case <-time.After(printTimeout):
+	}
+}
+
 func entryCommand() *ffcli.Command {
 	return settingsCommand("entry", "run an entry daemon", func(ctx context.Context, s kctsetting.Settings) error {
 		debug.SetGCPercent(gcPercent)
--- a/cmd/kingcupturn/output_test.go
+++ b/cmd/kingcupturn/output_test.go
@@ -42,9 +42,8 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		// Killing a process that has ended has no effect, and its end by a signal is expected.
+		// Killing a process that has ended has no effect.
 		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
 	})
 	return cmd, config, caller
 }
@@ -69,7 +68,7 @@
 	return last
 }
 
-// TestUnreadOutput guards against an entry whose standard output and error nobody reads and that no longer answers after an error.
+// TestUnreadOutput guards against an entry whose standard output and error nobody reads and that no longer answers after an error, or never ends.
 func TestUnreadOutput(t *testing.T) {
 	reader, output, err := os.Pipe()
 	if err != nil {
@@ -87,6 +86,8 @@
 		t.Fatal(err)
 	}
 	cmd, config, caller := startServing(t, output)
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
 	if err := answered(caller, "before"); err != nil {
 		t.Fatalf("before the error: %v", err)
 	}
@@ -100,4 +101,12 @@
 	if err := answered(caller, "after"); err != nil {
 		t.Errorf("after settings that are not valid: %v", err)
 	}
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(testGrace):
+		t.Errorf("the process still runs %v after SIGTERM", testGrace)
+	}
 }
--- a/cmd/kingcupturn/serve.go
+++ b/cmd/kingcupturn/serve.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"k8s.io/klog/v2"
@@ -14,6 +16,7 @@
 	"kingcupturn/io/kctlog"
 	"kingcupturn/io/kctnode"
 	"kingcupturn/io/kctsetting"
+	"kingcupturn/io/kctstop"
 	"kingcupturn/io/kcttimer"
 )
 
@@ -45,6 +48,13 @@
 	return set.Lookup("config").Value.String()
 }
 
+const (
+	// exitReserve is the part of the grace time that is reserved for exiting after the last log line.
+	exitReserve = 200 * time.Millisecond
+	// reloadTimeout bounds the wait for a reload once the entry itself has stopped.
+	reloadTimeout = 50 * time.Millisecond
+)
+
 // serve runs an entry and reloads its settings on SIGHUP and when the file changes. Logging to standard output doesn't
 // block the entry: lines are dropped instead.
 func serve(ctx context.Context, settings kctsetting.Serving, path string, args []string) error {
@@ -53,7 +63,12 @@
 		return err
 	}
 	logContext, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopLog()
 	logDone := log.Run(logContext)
+	stopping, begin := context.WithCancel(ctx)
+	defer begin()
+	limit, release := kctstop.After(stopping, kcttimer.New(), settings.Grace-exitReserve)
+	defer release()
 	node := kctnode.New(settings, kctnode.WithDroppedLines(log.Dropped))
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
@@ -62,11 +77,13 @@
 	watchDone := kctsetting.Watch(watchContext, kcttimer.New(), path, hangups, func(reason string) { reload(node, args, reason) })
 	err := node.Run(ctx)
 	stopWatch()
-	<-watchDone
+	begin()
+	reloading, giveUp := context.WithTimeout(limit, reloadTimeout)
+	defer giveUp()
+	err = errors.Join(err, kctstop.Await(reloading, kctstop.On("reload", watchDone)))
 	klog.Flush()
 	stopLog()
-	<-logDone
-	return err
+	return errors.Join(err, kctstop.Await(limit, kctstop.On("log", logDone)))
 }
 
 // reload applies the settings file under the flags of the command line; invalid settings are logged and leave the old ones in force.
--- a/io/kctentry/entry.go
+++ b/io/kctentry/entry.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
@@ -26,6 +26,7 @@
 	"kingcupturn/io/kctmetric"
 	"kingcupturn/io/kctpeer"
 	"kingcupturn/io/kctsetting"
+	"kingcupturn/io/kctstop"
 	"kingcupturn/io/kcttimer"
 	kctadapter "kingcupturn/platform"
 )
@@ -51,6 +52,8 @@
 	killed   chan struct{}
 	created  time.Time
 	wasReady atomic.Bool
+	// partsTimeout is defaultPartsTimeout, but for tests.
+	partsTimeout time.Duration
 }
 
 // Option configures an Entry.
@@ -68,7 +71,7 @@
 
 // New returns an entry that starts nothing before Run.
 func New(settings kctsetting.Settings, opts ...Option) *Entry {
-	e := &Entry{settings: settings, timer: kcttimer.New(), metrics: kctmetric.New(), killed: make(chan struct{})}
+	e := &Entry{settings: settings, timer: kcttimer.New(), metrics: kctmetric.New(), killed: make(chan struct{}), partsTimeout: defaultPartsTimeout}
 	for _, o := range opts {
 		o(e)
 	}
@@ -205,10 +208,9 @@
 		e.mesh.Close()
 	}
 	stop()
-	<-control
-	<-batches
-	<-peers
-	return err
+	limit, release := context.WithTimeout(context.WithoutCancel(ctx), e.partsTimeout)
+	defer release()
+	return errors.Join(err, kctstop.Await(limit, kctstop.On("control", control), kctstop.On("batches", batches), kctstop.On("peers", peers)))
 }
 
 // Kill ends the entry at once, as a crash does, and closes the connections of callers and peers. It may be called once.
@@ -221,13 +223,18 @@
 	shutdownTimeout = 70 * time.Second
 	// handoverWait is the time for releases of endpoints and relayed attempts to finish.
 	handoverWait = time.Second
+	// leaveTimeout bounds the wait until the control goroutine has withdrawn this entry from the members; callers are served after it all the same.
+	leaveTimeout = time.Second
+	// defaultPartsTimeout bounds the wait for the parts of the entry once callers are no longer served; the longest one, for requests of other entries in
+	// progress, takes 10 s (kctpeer).
+	defaultPartsTimeout = 12 * time.Second
 )
 
 // drain leaves the membership, serves callers until their address lists have expired, and shuts down after the requests in progress.
 func (e *Entry) drain(ctx context.Context) error {
 	klog.InfoS("entry draining", "id", e.self.ID, "lifetime", e.settings.Lifetime)
-	if err := e.control.Drain(ctx); err != nil {
-		return eris.Wrap(err, "drain")
+	if err := e.leave(ctx); err != nil {
+		klog.ErrorS(err, "not withdrawn from the members", "id", e.self.ID)
 	}
 	e.sleep(ctx, leavePropagation+e.settings.Lifetime-closePeriod)
 	e.server.DisableKeepAlives()
@@ -240,6 +247,13 @@
 	return err
 }
 
+// leave withdraws this entry from the members.
+func (e *Entry) leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	return e.control.Drain(ctx)
+}
+
 // leavePropagation is how long other entries may still list this entry's address, until all have received its leaving.
 const leavePropagation = 2 * time.Second
 
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -32,6 +32,7 @@
 	"kingcupturn/io/kctmetric"
 	"kingcupturn/io/kctrelay"
 	"kingcupturn/io/kctsetting"
+	"kingcupturn/io/kctstop"
 	"kingcupturn/io/kcttimer"
 	"kingcupturn/io/kctusage"
 	kctadapter "kingcupturn/platform"
@@ -47,6 +48,8 @@
 	// exitReserve is the part of the grace time that is reserved for exiting before the platform kills the process, which takes a few hundred
 	// milliseconds on a fifth of a core.
 	exitReserve = 500 * time.Millisecond
+	// stopReserve is the last part of it, in which the entry no longer waits for what has not ended, but logs it and exits.
+	stopReserve = 300 * time.Millisecond
 	// answerReserve is the time before the exit by which all requests are answered, so that the answers reach their callers.
 	answerReserve = 150 * time.Millisecond
 	// closePeriod is the last part of serving during the drain, in which each answer closes its connection.
@@ -171,16 +174,21 @@
 	n.policies.Delays.Prune(func(route string) bool { return routes[route] })
 }
 
-// Run serves until the context ends, then drains within the grace time; it returns early with the error of a listener that fails.
+// Run serves until the context ends, then drains within the grace time; it returns early with the error of a listener that fails. What has not ended
+// stopReserve before the end of the grace time is logged and left; the error then wraps ErrTimeout.
 func (n *Node) Run(ctx context.Context) error {
 	debug.SetMemoryLimit(int64(memoryShare * float64(n.settings.Memory) * (1 << 20)))
 	debug.SetGCPercent(gcPercent)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	control := n.control.Run(work)
-	egress := n.egress.Run(work)
-	suspects := n.suspects.Run(work)
-	usage := n.usage.Run(work)
+	stopping, begin := context.WithCancel(ctx)
+	defer begin()
+	limit, release := kctstop.After(stopping, n.timer, n.settings.Grace-stopReserve)
+	defer release()
+	parts := []kctstop.Part{
+		kctstop.On("control", n.control.Run(work)), kctstop.On("egress", n.egress.Run(work)),
+		kctstop.On("suspects", n.suspects.Run(work)), kctstop.On("usage", n.usage.Run(work)),
+	}
 	feeds, err := kctfeed.NewServer(n.settings.Peer, n.control, n.timer).Start(work)
 	if err != nil {
 		return err
@@ -189,7 +197,7 @@
 	if err != nil {
 		return err
 	}
-	relay := n.relay.Run(work)
+	parts = append(parts, kctstop.On("feeds", feeds), kctstop.On("relays", relays), kctstop.On("relay client", n.relay.Run(work)))
 	callers, err := n.ingress.Start(work)
 	if err != nil {
 		return err
@@ -201,18 +209,14 @@
 	klog.InfoS("entry started", "id", n.settings.ID, "zone", n.settings.Zone, "caller", n.settings.Caller, "store", n.settings.Store)
 	select {
 	case <-ctx.Done():
+		parts = append(parts, kctstop.On("leaving", n.leave(work)))
 		err = n.drain(work)
 	case err = <-callers:
 	case err = <-auxiliary:
 	}
 	stop()
-	<-control
-	<-egress
-	<-suspects
-	<-usage
-	<-feeds
-	<-relays
-	<-relay
+	begin()
+	err = errors.Join(err, kctstop.Await(limit, parts...))
 	klog.InfoS("entry stopped", "id", n.settings.ID, "err", err)
 	return err
 }
@@ -269,12 +273,20 @@
 	return nil
 }
 
-// drain leaves the directory, serves callers that still use this entry's address as long as there is time for their requests, and shuts down after the
-// requests in progress.
+// leave withdraws this entry from the directory; the channel closes when that is done. Callers are served whether it is or not.
+func (n *Node) leave(ctx context.Context) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		n.control.Leave(ctx)
+	}()
+	return done
+}
+
+// drain serves callers that still use this entry's address as long as there is time for their requests, and shuts down after the requests in progress.
 func (n *Node) drain(ctx context.Context) error {
 	started := n.timer.Now()
 	klog.InfoS("entry draining", "id", n.settings.ID, "grace", n.settings.Grace)
-	n.control.Leave(ctx)
 	n.engine.Drain(started.Add(n.settings.Grace - exitReserve - answerReserve))
 	serving := n.settings.Grace - finishReserve - exitReserve
 	n.sleep(ctx, serving-closePeriod)
