Don't wait without end for a report on the contact with the store

An entry that asks another one for its contact with the store waited at the other end for a report that the control goroutine makes. If that panicked, which ends the update only, the feed goroutine waited for ever, and the process didn't end at a stop. Found by reading; no run showed such a panic.

Contact also waits for the end of the feed and of the control goroutine.

Before: TestContactThatPanics fails with a deadlock. After: it passes.

--- a/core/kctfleet/hub.go
+++ b/core/kctfleet/hub.go
@@ -104,13 +104,19 @@
 // Contact returns this entry's contact with the store, for an entry that looks for one to follow.
 func (c *Controller) Contact(ctx context.Context) kctport.StoreContact {
 	answer := make(chan kctport.StoreContact, 1)
-	if !c.update(ctx, func(s *state, now time.Time) []event {
+	if c.update(ctx, func(s *state, now time.Time) []event {
 		answer <- s.contact.report(now)
 		return nil
 	}) {
-		return kctport.StoreContact{Age: storeAge(time.Time{}, time.Time{}), Silence: storeAge(time.Time{}, time.Time{})}
+		// An update that panics gives no answer.
+		select {
+		case contact := <-answer:
+			return contact
+		case <-ctx.Done():
+		case <-c.stopped:
+		}
 	}
-	return <-answer
+	return kctport.StoreContact{Age: storeAge(time.Time{}, time.Time{}), Silence: storeAge(time.Time{}, time.Time{})}
 }
 
 // firstUpdate returns a full update, or only the contact with the store while this entry has no state to send.
--- a/core/kctfleet/panic_test.go
+++ b/core/kctfleet/panic_test.go
@@ -57,6 +57,20 @@
 	})
 }
 
+// TestContactThatPanics guards against a feed that waits for ever, and keeps the process from ending, for a report that panicked.
+func TestContactThatPanics(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := New(kctport.EntryRecord{ID: "e", Zone: "a"}, &registry{}, nil, kcttimer.New(), discardLogger{})
+		// The control goroutine takes an update that panics and goes on.
+		go func() { <-c.inbox }()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if contact := c.Contact(ctx); contact.Watcher != "" {
+			t.Errorf("contact %+v, want none", contact)
+		}
+	})
+}
+
 // TestMoveThatPanics guards against a process that ends because a step of a move panics, and against a move that stays where it was after that.
 func TestMoveThatPanics(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
