--- a/io/kctfake/stuttercase.go
+++ b/io/kctfake/stuttercase.go
@@ -147,21 +147,24 @@
 		(head == nil || maps.EqualFunc(head, kctport.Header(want.Header), slices.Equal[[]string]))
 }
 
-// StutterServer serves cases one after the other; the path of a request ends in a slash and its number.
+// StutterServer serves cases one after the other; the path of a request ends in a slash and its number, unless SetNumber is used.
 type StutterServer struct {
 	*Stutter
 	Address netip.AddrPort
 	current atomic.Pointer[StutterCase]
+	// number is that of the requests to come, -1 when their paths hold it.
+	number atomic.Int64
 }
 
 // StartStutterServer starts a server that answers by the case set last, until Stop or the end of the context.
 func StartStutterServer(ctx context.Context) (*StutterServer, error) {
 	s := &StutterServer{}
+	s.number.Store(-1)
 	s.Stutter = NewStutter(
-		func(r *http.Request) []byte { return []byte(s.current.Load().Bytes(numberOf(r))) },
+		func(r *http.Request) []byte { return []byte(s.current.Load().Bytes(s.numberOf(r))) },
 		func(r *http.Request, _ int) StutterPlan {
 			c := s.current.Load()
-			p := c.plans[numberOf(r)]
+			p := c.plans[s.numberOf(r)]
 			p.Close = p.Close || c.form.closes
 			return p
 		})
@@ -173,8 +176,14 @@
 // Set makes a case the one that is served.
 func (s *StutterServer) Set(c StutterCase) { s.current.Store(&c) }
 
-// numberOf returns the number of a request by its path, 0 for a path without one.
-func numberOf(r *http.Request) int {
+// SetNumber makes a number that of the requests to come, for paths that hold none.
+func (s *StutterServer) SetNumber(n int) { s.number.Store(int64(n)) }
+
+// numberOf returns the number of a request, 0 for a path without one.
+func (s *StutterServer) numberOf(r *http.Request) int {
+	if n := s.number.Load(); n >= 0 {
+		return int(n)
+	}
 	n := 0
 	// A path without a number leaves it 0.
 	_, _ = fmt.Sscanf(r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:], "%d", &n)
