--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -116,7 +116,8 @@
 	}
 	n.usage = kctusage.New(n.timer, settings.Cores, n.handled)
 	memory := kctsuspect.NewMemory(n.timer, kctsuspect.WithSelf(settings.ID), kctsuspect.WithOnVerdict(log.LogVerdict))
-	n.control = kctfleet.New(n.self(), kctadapter.NewClient(settings.Store), kctfeed.NewClient(n.timer, kctadapter.Decode), n.timer, log,
+	store := kctadapter.NewClient(settings.Store, kctadapter.WithDropped(func(err error) { log.LogChange("store answer dropped", "", err.Error(), 0) }))
+	n.control = kctfleet.New(n.self(), store, kctfeed.NewClient(n.timer, kctadapter.Decode), n.timer, log,
 		kctfleet.WithOnPublish(n.updatePolicies), kctfleet.WithLoad(n.usage.Share), kctfleet.WithSeed(seed),
 		kctfleet.WithZones(settings.Zones), kctfleet.WithApplyDeadline(settings.Apply), kctfleet.WithHeartbeat(settings.Heartbeat),
 		kctfleet.WithChecker(kctcheck.New(n.reportViolation)), kctfleet.WithSuspicions(memory),
