--- a/io/kctfake/stutter.go
+++ b/io/kctfake/stutter.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -20,12 +21,10 @@
 	listener net.Listener
 	// opened counts the connections accepted.
 	opened atomic.Int64
-	// received counts the requests received.
-	received atomic.Int64
-	conns    sync.WaitGroup
-	mu       sync.Mutex
-	open     map[net.Conn]struct{}
-	closed   bool
+	conns  sync.WaitGroup
+	mu     sync.Mutex
+	open   map[net.Conn]struct{}
+	closed bool
 }
 
 // StutterPlan says how the answer to one request is written; the zero value writes it once.
@@ -87,9 +86,6 @@
 // Opened returns the number of connections accepted.
 func (s *Stutter) Opened() int { return int(s.opened.Load()) }
 
-// Received returns the number of requests received.
-func (s *Stutter) Received() int { return int(s.received.Load()) }
-
 // stutterConn is a connection of a Stutter; writes of late copies come from other goroutines.
 type stutterConn struct {
 	net.Conn
@@ -124,10 +120,11 @@
 			}
 			return
 		}
-		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
 			return
 		}
-		s.received.Add(1)
+		r.Body = io.NopCloser(bytes.NewReader(body))
 		answer := s.answer(r)
 		if !c.write(answer, s.plan(r, n), &s.conns) || r.Close {
 			return
--- a/io/kctfake/stuttercase.go
+++ b/io/kctfake/stuttercase.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,9 @@
 // changeDate changes the date of an answer.
 func changeDate(answer string) string { return strings.Replace(answer, ":23 GMT", ":24 GMT", 1) }
 
+// stutterWorkers is the number of cases that RunStutterCases serves at a time.
+const stutterWorkers = 24
+
 // StutterAnswer is the answer to one request.
 type StutterAnswer struct {
 	// ID is the identifier of the request.
@@ -154,6 +158,10 @@
 	current atomic.Pointer[StutterCase]
 	// number is that of the requests to come, -1 when their paths hold it.
 	number atomic.Int64
+
+	mu sync.Mutex
+	// received holds the targets and bodies of the requests since the case was set.
+	received []string
 }
 
 // StartStutterServer starts a server that answers by the case set last, until Stop or the end of the context.
@@ -161,7 +169,10 @@
 	s := &StutterServer{}
 	s.number.Store(-1)
 	s.Stutter = NewStutter(
-		func(r *http.Request) []byte { return []byte(s.current.Load().Bytes(s.numberOf(r))) },
+		func(r *http.Request) []byte {
+			s.record(r)
+			return []byte(s.current.Load().Bytes(s.numberOf(r)))
+		},
 		func(r *http.Request, _ int) StutterPlan {
 			c := s.current.Load()
 			p := c.plans[s.numberOf(r)]
@@ -173,8 +184,53 @@
 	return s, err
 }
 
+// RunStutterCases passes each case, with a server that serves it, to run, by several goroutines, and waits for them.
+func RunStutterCases(ctx context.Context, cases []StutterCase, run func(s *StutterServer, c StutterCase)) error {
+	queue := make(chan StutterCase, len(cases))
+	for _, c := range cases {
+		queue <- c
+	}
+	close(queue)
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	for range stutterWorkers {
+		s, err := StartStutterServer(ctx)
+		if err != nil {
+			return err
+		}
+		workers.Go(func() {
+			defer s.Stop()
+			for c := range queue {
+				s.Set(c)
+				run(s, c)
+			}
+		})
+	}
+	return nil
+}
+
 // Set makes a case the one that is served.
-func (s *StutterServer) Set(c StutterCase) { s.current.Store(&c) }
+func (s *StutterServer) Set(c StutterCase) {
+	s.current.Store(&c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received = nil
+}
+
+func (s *StutterServer) record(r *http.Request) {
+	// The body has been read before.
+	body, _ := io.ReadAll(r.Body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received = append(s.received, r.RequestURI+" "+string(body))
+}
+
+// Received reports whether a request with a text in its target or body has arrived since the case was set.
+func (s *StutterServer) Received(text string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.received, func(r string) bool { return strings.Contains(r, text) })
+}
 
 // SetNumber makes a number that of the requests to come, for paths that hold none.
 func (s *StutterServer) SetNumber(n int) { s.number.Store(int64(n)) }
