Give status calls of endpoints an identifier

What callers saw: none reported it; shown by TestSecondCopyOfReply. An earlier status of an endpoint, such as that it does not drain or has another boot identifier, is taken for the present one. Cause: a status reply names no call, so that its late copy passes for the reply to the next call on that connection.

Identifiers are counted per client, since they have to differ on one connection only. A dropped reply is reported with the endpoint, the request, the reason, the connection and the first 160 bytes, and logged as "answer dropped". Calls need no change: replies and refusals bear the identifier of their attempt, which no other attempt has (kctquery.Engine.uniqueID), so that no repeat of a request takes an earlier answer for its own, whichever connection it uses; a request is sent on another connection only if no byte of it was written.

--- a/io/kctbackend/call.go
+++ b/io/kctbackend/call.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"net/url"
+	"strconv"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,7 +30,7 @@
 		return kctport.PartReply{}, eris.Wrap(errors.Join(kctport.ErrNotRun, kctport.ErrInvalid), err.Error())
 	}
 	var reply kctport.PartReply
-	err = c.pool(endpoint).exchange(ctx, http.MethodPost, kctwire.PathParts, body, func(r response) error {
+	err = c.pool(endpoint).exchange(ctx, request{call.Request, http.MethodPost, kctwire.PathParts, body}, func(r response) error {
 		var err error
 		reply, err = checkReply(call, r)
 		return err
@@ -54,14 +56,16 @@
 	}
 }
 
-// Status fetches the endpoint's status and lowers the connection limit to the one reported. A reply that is not a valid status wraps ErrMismatch.
+// Status fetches the endpoint's status, under an identifier that no other status call of this client has, and lowers the connection limit to the one reported. A reply that is not a valid status wraps ErrMismatch.
 func (c *Client) Status(ctx context.Context, endpoint kctport.Endpoint) (kctport.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.status)
 	defer cancel()
 	var status kctport.Status
-	err := c.pool(endpoint).exchange(ctx, http.MethodGet, kctwire.PathStatus, nil, func(r response) error {
+	id := strconv.FormatUint(c.checks.Add(1), 10)
+	path := kctwire.PathStatus + "?" + url.Values{kctwire.QueryRequest: {id}}.Encode()
+	err := c.pool(endpoint).exchange(ctx, request{id, http.MethodGet, path, nil}, func(r response) error {
 		var err error
-		status, err = checkStatus(r)
+		status, err = checkStatus(id, r)
 		return err
 	})
 	if err == nil {
--- a/io/kctbackend/check.go
+++ b/io/kctbackend/check.go
@@ -77,8 +77,8 @@
 	return eris.Wrapf(errors.Join(ran, kind), "endpoint refused: %s", f.Code)
 }
 
-// checkStatus decodes and checks a status reply; a part reply left over on the connection is recognized by its missing boot identifier.
-func checkStatus(r response) (kctport.Status, error) {
+// checkStatus decodes a status reply and compares it with its call, so that a late reply to an earlier one is not taken for the present status.
+func checkStatus(id string, r response) (kctport.Status, error) {
 	var s kctwire.Status
 	if r.status != http.StatusOK {
 		return kctport.Status{}, mismatchError("status call: HTTP status %d", r.status)
@@ -86,6 +86,9 @@
 	if err := json.Unmarshal(r.body, &s); err != nil {
 		return kctport.Status{}, mismatchError("status body: %v", err)
 	}
+	if s.Request != id {
+		return kctport.Status{}, mismatchError("status call %q, sent %q", s.Request, id)
+	}
 	if s.Boot == 0 || s.Slots < 0 || s.Connections < 0 || s.InFlight < 0 {
 		return kctport.Status{}, mismatchError("status with boot %d, slots %d, connections %d, inflight %d", s.Boot, s.Slots, s.Connections, s.InFlight)
 	}
--- a/io/kctbackend/client.go
+++ b/io/kctbackend/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	kctport "kingcupturn"
@@ -32,6 +33,10 @@
 	status        time.Duration
 	dial          time.Duration
 	returnReserve time.Duration
+	// reportDropped is called for each reply that is not passed on.
+	reportDropped func(endpoint kctport.InstanceID, request string, err error)
+	// checks counts the status calls.
+	checks atomic.Uint64
 
 	bodies kctbody.Reader
 
@@ -64,6 +69,12 @@
 	return func(c *Client) { c.returnReserve = returnReserve }
 }
 
+// WithDropped sets the function that is called for each reply that is not passed on, since it belongs to no request or another one, can't be read or broke off;
+// the error names the connection and the first bytes.
+func WithDropped(f func(endpoint kctport.InstanceID, request string, err error)) Option {
+	return func(c *Client) { c.reportDropped = f }
+}
+
 // New returns a client without connections.
 func New(timer kctport.Timer, opts ...Option) *Client {
 	c := &Client{
@@ -72,6 +83,8 @@
 		status:      defaultStatusTimeout,
 		dial:        defaultDialTimeout,
 		pools:       map[kctport.InstanceID]*pool{},
+
+		reportDropped: func(kctport.InstanceID, string, error) {},
 	}
 	for _, o := range opts {
 		o(c)
@@ -94,7 +107,7 @@
 	if p, ok := c.pools[e.ID]; ok {
 		p.close()
 	}
-	p := newPool(c.timer, e.Address, connections, c.dial, &c.bodies)
+	p := newPool(c, e, connections)
 	c.pools[e.ID] = p
 	return p
 }
--- a/io/kctbackend/conn.go
+++ b/io/kctbackend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -24,6 +25,27 @@
 	checked  chan struct{}
 	// requests counts the requests that use the connection: two while the reply of the first is still being checked.
 	requests int
+	// first holds the first bytes received since the last request began.
+	first []byte
+}
+
+// maxExcerpt is the largest part of a reply in bytes that an error quotes.
+const maxExcerpt = 160
+
+// Read reads from the connection and records the beginning of a reply.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.first = append(c.first, b[:min(n, maxExcerpt-len(c.first))]...)
+	return n, err
+}
+
+// received describes the connection and the first bytes received since the last request began, none when they had come before it.
+func (c *conn) received() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return fmt.Sprintf("reply on connection %s to %s begins %q", c.LocalAddr(), c.RemoteAddr(), c.first)
 }
 
 // Write waits for the check of a reply and counts the bytes before it sends them, so that the count is never too low.
@@ -56,6 +78,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.requests++
+	c.first = c.first[:0]
 	return c.written
 }
 
--- a/io/kctbackend/exchange.go
+++ b/io/kctbackend/exchange.go
@@ -15,8 +15,17 @@
 	"kingcupturn/io/kctbody"
 )
 
+// request is what an exchange sends.
+type request struct {
+	// id is the identifier that the reply has to repeat.
+	id           string
+	method, path string
+	body         []byte
+}
+
 // exchange is one HTTP request on one connection, with the state that shows whether any byte of it was written.
 type exchange struct {
+	request
 	pool   *pool
 	sent   time.Time
 	conn   *conn
@@ -39,11 +48,11 @@
 // exchange sends a request and passes the reply to check; if check returns ErrMismatch, the connection is closed.
 // If a reused connection fails before any byte was written, the request goes to another one, which is not a resend.
 // Each such failure closes an idle connection, so the connection limit bounds the number of repetitions.
-func (p *pool) exchange(ctx context.Context, method, path string, body []byte, check func(response) error) error {
+func (p *pool) exchange(ctx context.Context, r request, check func(response) error) error {
 	var err error
 	for range p.connections + 1 {
-		x := &exchange{pool: p, sent: p.timer.Now()}
-		err = x.run(ctx, method, path, body, check)
+		x := &exchange{request: r, pool: p, sent: p.timer.Now()}
+		err = x.run(ctx, check)
 		if !errors.Is(err, errUnwritten) {
 			return err
 		}
@@ -51,8 +60,8 @@
 	return err
 }
 
-func (x *exchange) run(ctx context.Context, method, path string, body []byte, check func(response) error) error {
-	r, err := x.newRequest(ctx, method, path, body)
+func (x *exchange) run(ctx context.Context, check func(response) error) error {
+	r, err := x.newRequest(ctx)
 	if err != nil {
 		return err
 	}
@@ -64,7 +73,7 @@
 	if !x.conn.beginCheck(x.writtenBefore) {
 		x.conn.discard()
 		x.conn.endRequest()
-		return unwrittenError(eris.New("a reply came before the request was written"))
+		return x.dropped(unwrittenError(eris.New("a reply came before the request was written")))
 	}
 	defer x.conn.endRequest()
 	data, err := x.pool.bodies.Read(res.Body, maxReplyBytes)
@@ -72,15 +81,26 @@
 		return x.readError(ctx, err)
 	}
 	err = check(response{status: res.StatusCode, body: data})
-	if errors.Is(err, kctport.ErrMismatch) || !x.pool.keepAlive() {
+	mismatch := errors.Is(err, kctport.ErrMismatch)
+	if mismatch || !x.pool.keepAlive() {
 		x.conn.discard()
 	}
+	if mismatch {
+		return x.dropped(err)
+	}
+	return err
+}
+
+// dropped reports the error of a reply that is not passed on and returns it, with the connection and the first bytes.
+func (x *exchange) dropped(err error) error {
+	err = eris.Wrap(err, x.conn.received())
+	x.pool.reportDropped(x.pool.endpoint, x.id, err)
 	return err
 }
 
 // newRequest builds the HTTP request. net/http resends a request automatically when GetBody is set and nothing was
 // written, or when the request counts as idempotent; without GetBody a POST is never resent.
-func (x *exchange) newRequest(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
+func (x *exchange) newRequest(ctx context.Context) (*http.Request, error) {
 	trace := &httptrace.ClientTrace{
 		GotConn: func(i httptrace.GotConnInfo) {
 			if c, ok := i.Conn.(*conn); ok {
@@ -89,11 +109,11 @@
 		},
 		GotFirstResponseByte: func() { x.replyStarted.Store(true) },
 	}
-	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, "http://"+x.pool.address.String()+path, bytes.NewReader(body))
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), x.method, "http://"+x.pool.address.String()+x.path, bytes.NewReader(x.body))
 	if err != nil {
 		return nil, eris.Wrap(errors.Join(kctport.ErrNotRun, kctport.ErrInvalid), err.Error())
 	}
-	if len(body) == 0 {
+	if len(x.body) == 0 {
 		r.Body = http.NoBody
 	}
 	r.GetBody = nil
@@ -123,7 +143,7 @@
 	case ctx.Err() != nil:
 		kind = context.Canceled
 	case x.replyStarted.Load():
-		kind = kctport.ErrMismatch
+		return x.dropped(mismatchError("endpoint %s: %s", x.pool.address, kctbody.ErrorText(err)))
 	}
 	return eris.Wrapf(errors.Join(kctport.ErrUnknown, kind), "endpoint %s: %s", x.pool.address, kctbody.ErrorText(err))
 }
@@ -148,12 +168,14 @@
 // readError classifies a reply whose body could not be read to its end.
 func (x *exchange) readError(ctx context.Context, err error) error {
 	x.conn.discard()
-	kind := kctport.ErrMismatch
+	var kind error
 	switch {
 	case isTimeout(ctx, err):
 		kind = kctport.ErrTimeout
 	case ctx.Err() != nil:
 		kind = context.Canceled
+	default:
+		return x.dropped(mismatchError("endpoint %s: reply: %s", x.pool.address, kctbody.ErrorText(err)))
 	}
 	return eris.Wrapf(errors.Join(kctport.ErrUnknown, kind), "endpoint %s: reply: %s", x.pool.address, kctbody.ErrorText(err))
 }
--- a/io/kctbackend/pool.go
+++ b/io/kctbackend/pool.go
@@ -15,19 +15,24 @@
 // pool holds the connections to one endpoint.
 type pool struct {
 	timer       kctport.Timer
+	endpoint    kctport.InstanceID
 	address     netip.AddrPort
 	connections int
 	transport   *http.Transport
 	bodies      *kctbody.Reader
+	// reportDropped is that of the client.
+	reportDropped func(endpoint kctport.InstanceID, request string, err error)
 
 	mu     sync.Mutex
 	closed bool
 	open   map[*conn]struct{}
 }
 
-func newPool(timer kctport.Timer, address netip.AddrPort, connections int, dial time.Duration, bodies *kctbody.Reader) *pool {
-	p := &pool{timer: timer, address: address, connections: connections, bodies: bodies, open: map[*conn]struct{}{}}
-	dialer := &net.Dialer{Timeout: dial}
+func newPool(c *Client, e kctport.Endpoint, connections int) *pool {
+	p := &pool{
+		timer: c.timer, endpoint: e.ID, address: e.Address, connections: connections, bodies: &c.bodies, reportDropped: c.reportDropped, open: map[*conn]struct{}{},
+	}
+	dialer := &net.Dialer{Timeout: c.dial}
 	p.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			raw, err := dialer.DialContext(ctx, network, addr)
--- a/io/kctbackend/stutter_test.go
+++ b/io/kctbackend/stutter_test.go
@@ -107,7 +107,8 @@
 
 // runStutterRow sends the requests of a case one after the other and counts their outcomes.
 func runStutterRow(t *testing.T, row [3]int, s *kctfake.StutterServer, c kctfake.StutterCase, count func(outcome string)) {
-	client := kctbackend.New(kcttimer.New(), kctbackend.WithConnections(1), kctbackend.WithStatusTimeout(stutterTime))
+	client := kctbackend.New(kcttimer.New(), kctbackend.WithConnections(1), kctbackend.WithStatusTimeout(stutterTime),
+		kctbackend.WithDropped(func(kctport.InstanceID, string, error) { count("reported") }))
 	defer client.Close()
 	for n, status := range row {
 		s.SetNumber(n)
@@ -151,6 +152,9 @@
 			if counts["wrong"] > 0 {
 				t.Errorf("%d outcomes are not those of the endpoint's replies", counts["wrong"])
 			}
+			if counts["reported"] == 0 {
+				t.Error("no dropped reply was reported")
+			}
 		})
 	}
 }
--- a/io/kctentry/entry.go
+++ b/io/kctentry/entry.go
@@ -99,7 +99,10 @@
 	platform := kctadapter.NewRecords(e.settings.Platform, kctadapter.WithUnusable(func(key string, err error) {
 		klog.V(1).InfoS("record unusable", "key", key, "err", err)
 	}), kctadapter.WithDropped(func(err error) { klog.InfoS("store answer dropped", "err", err) }))
-	e.backend = kctbackend.New(e.timer, kctbackend.WithConnections(e.settings.MaxConnections))
+	e.backend = kctbackend.New(e.timer, kctbackend.WithConnections(e.settings.MaxConnections),
+		kctbackend.WithDropped(func(endpoint kctport.InstanceID, request string, err error) {
+			klog.InfoS("answer dropped", "endpoint", endpoint, "request", request, "err", err)
+		}))
 	e.mesh = kctpeer.New(e.self, e.timer, kctpeer.WithConfigCodec(kctcodec.EncodeConfig, kctcodec.DecodeConfig),
 		kctpeer.WithSessionFailed(func(id kctport.InstanceID) { e.control.SessionFailed(id) }))
 	e.gates = kctlimit.NewGates(e.timer, kctlimit.WithChecker(e.checker))
--- a/io/kctfake/status.go
+++ b/io/kctfake/status.go
@@ -60,6 +60,7 @@
 		return
 	}
 	s := e.status()
+	s.Request = r.URL.Query().Get(kctwire.QueryRequest)
 	if pause(r.Context(), e.networkDelay()) {
 		writeJSON(w, http.StatusOK, s)
 	}
--- a/io/kctwire/endpoint.go
+++ b/io/kctwire/endpoint.go
@@ -18,6 +18,9 @@
 	PathActions = "/v1/actions"
 )
 
+// QueryRequest is the query parameter with the identifier of a status call.
+const QueryRequest = "request"
+
 // Values of Refusal.Code.
 const (
 	CodeSnapshot = "snapshot"
@@ -83,8 +86,9 @@
 	Holdings []Holding `json:"holdings,omitempty"`
 }
 
-// Status is the reply to a status call; Boot identifies the process run.
+// Status is the reply to a status call, whose identifier it contains; Boot identifies the process run.
 type Status struct {
+	Request     string    `json:"request"`
 	Boot        uint64    `json:"boot"`
 	Slots       int       `json:"slots"`
 	Connections int       `json:"connections"`
