Keep a relay session open after bytes that are no text

What callers saw: by reading of the review, not in a run of theirs: one request with a header, or one answer of an endpoint with a signature or an error text, that holds bytes which are not UTF-8 ends a relay session with all its attempts. Cause: protobuf refuses to encode such a text, and both ends took any error of a send for a broken stream.

Change: nothing was written when a message can not be encoded (proto.Error). The asking entry then takes the attempt as declined, so that it goes straight with all its bytes; the other entry reports an answer that can not be encoded as one that does not match, and replaces such bytes in the text of an error.

Evidence: TestBytesThatAreNoText failed before: four attempts of one session, another one in flight among them, ended with "session lost".

--- a/io/kctrelay/client.go
+++ b/io/kctrelay/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"slices"
@@ -90,6 +91,10 @@
 	err = s.stream.SendFunc(func() proto.Message { return s.register(a, c.timer.Now()) })
 	number := a.number
 	defer s.unregister(number)
+	if errors.Is(err, proto.Error) {
+		// Nothing was written: the message holds bytes that are not UTF-8.
+		return kctport.Response{}, eris.Wrapf(errDeclined, "encode the attempt: %v", err)
+	}
 	if err != nil {
 		s.close()
 		return kctport.Response{}, eris.Wrapf(errSessionLost, "relay session with %s: %v", via.ID, err)
--- a/io/kctrelay/relay_test.go
+++ b/io/kctrelay/relay_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/goleak"
 
 	kctport "kingcupturn"
@@ -49,6 +50,10 @@
 		return kctport.Response{}, kctport.ErrMismatch
 	case "late":
 		return kctport.Response{}, kctport.ErrTimeout
+	case "odd":
+		return kctport.Response{Status: 200, Signature: "\xff"}, nil
+	case "odd failure":
+		return kctport.Response{}, eris.Wrap(kctport.ErrReset, "\xff")
 	}
 	m := a.Message
 	body := bytes.Join([][]byte{[]byte(m.ID), []byte(m.Method), []byte(m.Target), []byte(m.Host), []byte(m.Header["X-Own"][0]), m.Body, []byte(a.Service)}, []byte("|"))
@@ -136,6 +141,32 @@
 	}
 }
 
+// TestBytesThatAreNoText guards against a request, an answer or an error with bytes that are not UTF-8 which ends the other attempts of its session.
+func TestBytesThatAreNoText(t *testing.T) {
+	f := start(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	other := make(chan error)
+	go func() {
+		_, err := f.exchange(ctx, message(), "silent")
+		other <- err
+	}()
+	odd := message()
+	odd.Header["X-Own"] = []string{"\xff"}
+	for endpoint, want := range map[kctport.InstanceID]error{"one": kctport.ErrDeclined, "odd": kctport.ErrMismatch, "odd failure": kctport.ErrReset} {
+		m := message()
+		if endpoint == "one" {
+			m = odd
+		}
+		if _, err := f.exchange(t.Context(), m, endpoint); !errors.Is(err, want) || errors.Is(err, kctport.ErrUnavailable) {
+			t.Errorf("endpoint %s: error %v, want %v", endpoint, err, want)
+		}
+	}
+	cancel()
+	if err := <-other; !errors.Is(err, context.Canceled) {
+		t.Errorf("another attempt: %v, want context.Canceled", err)
+	}
+}
+
 // TestCancelledAttempt guards against an attempt that continues at the other entry after its caller has disconnected.
 func TestCancelledAttempt(t *testing.T) {
 	f := start(t)
--- a/io/kctrelay/server.go
+++ b/io/kctrelay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net/netip"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
@@ -121,7 +123,12 @@
 				Service: kctport.ServiceName(send.GetService()), Endpoint: kctport.InstanceID(send.GetEndpoint()), Message: message, Deadline: deadline,
 			})
 		}
-		if err := p.stream.Send(encodeResult(number, r, err)); err != nil {
+		err = p.stream.Send(encodeResult(number, r, err))
+		if errors.Is(err, proto.Error) {
+			// Nothing was written: the signature holds bytes that are not UTF-8.
+			err = p.stream.Send(encodeResult(number, r, eris.Wrapf(kctport.ErrMismatch, "encode the answer: %v", err)))
+		}
+		if err != nil {
 			klog.V(1).InfoS("relayed answer not written", "err", err)
 			p.stream.Close()
 		}
--- a/io/kctrelay/wire.go
+++ b/io/kctrelay/wire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,6 +25,8 @@
 var (
 	// errNotSent means that the attempt was not sent.
 	errNotSent = errors.Join(kctport.ErrNotRun, kctport.ErrUnavailable)
+	// errDeclined means that the other entry makes no attempt.
+	errDeclined = errors.Join(kctport.ErrDeclined, kctport.ErrNotRun)
 	// errSessionLost means that the session failed after the attempt was sent, so that the endpoint may have run it.
 	errSessionLost = errors.Join(kctport.ErrReset, kctport.ErrUnavailable)
 )
@@ -56,7 +59,7 @@
 // those of Response.Notice.
 func encodeResult(number uint64, r kctport.Response, err error) *kctproto.RelayResult {
 	if err != nil {
-		return &kctproto.RelayResult{Number: number, Failure: encodeFailure(err), Detail: err.Error()}
+		return &kctproto.RelayResult{Number: number, Failure: encodeFailure(err), Detail: strings.ToValidUTF8(err.Error(), "?")}
 	}
 	out := &kctproto.RelayResult{
 		Number: number, Status: uint32(r.Status), Signature: r.Signature, Body: r.Body, Refused: r.NotRun, Misdirected: r.Misdirected, Cold: int64(r.ColdRemaining),
@@ -88,7 +91,7 @@
 	switch m.GetFailure() {
 	case kctproto.RelayFailure_RELAY_FAILURE_NONE:
 	case kctproto.RelayFailure_RELAY_FAILURE_DECLINED:
-		return kctport.Response{}, eris.Wrapf(errors.Join(kctport.ErrDeclined, kctport.ErrNotRun), "relayed: %s", m.GetDetail())
+		return kctport.Response{}, eris.Wrapf(errDeclined, "relayed: %s", m.GetDetail())
 	case kctproto.RelayFailure_RELAY_FAILURE_NOT_SENT:
 		return kctport.Response{}, eris.Wrapf(kctport.ErrNotRun, "relayed: %s", m.GetDetail())
 	case kctproto.RelayFailure_RELAY_FAILURE_TIMEOUT:
