Wait between complete readings of the store when no watch is answered

A store that answers each watch with 410 makes its readers read everything again and again without a pause. Cause: followStore goes from a gap in the history to a complete reading at once, also when the watch right after such a reading fails.

--- a/core/kctfleet/follow.go
+++ b/core/kctfleet/follow.go
@@ -37,22 +37,25 @@
 			s.contact.setWatching(true)
 			return s.applyLoaded(now, l)
 		})
-		c.watchStore(ctx, l.Revision)
+		watched := c.watchStore(ctx, l.Revision)
 		c.update(context.WithoutCancel(ctx), func(s *state, now time.Time) []event {
 			s.contact.setWatching(false)
 			return s.contact.assess(now)
 		})
+		if !watched {
+			c.pause(ctx, retryPause)
+		}
 	}
 }
 
-// watchStore applies the store's changes until its history has a gap.
-func (c *Controller) watchStore(ctx context.Context, after kctport.StoreRevision) {
+// watchStore applies the store's changes until its history has a gap; it reports whether any watch was answered before that.
+func (c *Controller) watchStore(ctx context.Context, after kctport.StoreRevision) (watched bool) {
 	wait := c.watchWait
 	for ctx.Err() == nil {
 		changes, revision, err := c.watchOnce(ctx, after, wait)
 		if errors.Is(err, kctport.ErrCompacted) {
 			c.log.LogChange("store history compacted", "", err.Error(), 0)
-			return
+			return watched
 		}
 		if err != nil {
 			c.recordStoreError(ctx, err)
@@ -63,12 +66,13 @@
 			wait = rewatchWait
 			continue
 		}
-		after, wait = revision, c.watchWait
+		after, wait, watched = revision, c.watchWait, true
 		c.update(ctx, func(s *state, now time.Time) []event { return s.applyWatched(now, changes, revision) })
 		if len(changes) > 0 {
 			c.pause(ctx, watchPause)
 		}
 	}
+	return watched
 }
 
 func (c *Controller) watchOnce(ctx context.Context, after kctport.StoreRevision, wait time.Duration) ([]kctport.RegistryChange, kctport.StoreRevision, error) {
--- a/core/kctfleet/watch_test.go
+++ b/core/kctfleet/watch_test.go
@@ -1,7 +1,9 @@
 package kctfleet
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	kctport "kingcupturn"
@@ -79,3 +81,26 @@
 		}
 	}
 }
+
+// compactedStore answers each watch that its history has a gap.
+type compactedStore struct{ *registry }
+
+func (compactedStore) Watch(_ context.Context, after kctport.StoreRevision, _ time.Duration) ([]kctport.RegistryChange, kctport.StoreRevision, error) {
+	return nil, after, kctport.ErrCompacted
+}
+
+// TestWatchThatIsNeverRead guards against an entry that reads the whole store again and again without a pause, since each watch after it fails at once.
+func TestWatchThatIsNeverRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &registry{readers: map[kctport.Zone]kctport.EntryRecord{}, rules: 1}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := New(entryRecord("a", "z", 1), compactedStore{store}, &linkedFeeds{}, kcttimer.New(), discardLogger{}).Run(ctx)
+		const seconds = 10
+		time.Sleep(seconds * time.Second)
+		cancel()
+		<-done
+		if bound := int(seconds*time.Second/retryPause) + 2; store.loads > bound || store.loads < seconds {
+			t.Errorf("%d complete readings in %d s, want at most %d", store.loads, seconds, bound)
+		}
+	})
+}
