Report replies of endpoints that break off until the deadline

What operators saw: no "answer dropped" for a reply of an endpoint that had begun and did not end in its time, unlike one that can not be read. Cause: only mismatches were reported.

Change: each reply that has begun and is not passed on is reported, unless its request was cancelled; the errors are unchanged.

--- a/io/kctbackend/exchange.go
+++ b/io/kctbackend/exchange.go
@@ -143,9 +143,13 @@
 	case ctx.Err() != nil:
 		kind = context.Canceled
 	case x.replyStarted.Load():
-		return x.dropped(mismatchError("endpoint %s: %s", x.pool.address, kctbody.ErrorText(err)))
+		kind = kctport.ErrMismatch
 	}
-	return eris.Wrapf(errors.Join(kctport.ErrUnknown, kind), "endpoint %s: %s", x.pool.address, kctbody.ErrorText(err))
+	err = eris.Wrapf(errors.Join(kctport.ErrUnknown, kind), "endpoint %s: %s", x.pool.address, kctbody.ErrorText(err))
+	if x.replyStarted.Load() && kind != context.Canceled {
+		return x.dropped(err)
+	}
+	return err
 }
 
 // unwrittenError is the error of a request that may be sent on another connection.
@@ -168,16 +172,18 @@
 // readError classifies a reply whose body could not be read to its end.
 func (x *exchange) readError(ctx context.Context, err error) error {
 	x.conn.discard()
-	var kind error
+	kind := kctport.ErrMismatch
 	switch {
 	case isTimeout(ctx, err):
 		kind = kctport.ErrTimeout
 	case ctx.Err() != nil:
 		kind = context.Canceled
-	default:
-		return x.dropped(mismatchError("endpoint %s: reply: %s", x.pool.address, kctbody.ErrorText(err)))
 	}
-	return eris.Wrapf(errors.Join(kctport.ErrUnknown, kind), "endpoint %s: reply: %s", x.pool.address, kctbody.ErrorText(err))
+	err = eris.Wrapf(errors.Join(kctport.ErrUnknown, kind), "endpoint %s: reply: %s", x.pool.address, kctbody.ErrorText(err))
+	if kind == context.Canceled {
+		return err
+	}
+	return x.dropped(err)
 }
 
 func isTimeout(ctx context.Context, err error) bool {
