--- a/io/kctbackend/stutter_test.go
+++ b/io/kctbackend/stutter_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"reflect"
 	"strconv"
-	"sync"
 	"testing"
 	"time"
 
@@ -135,14 +134,7 @@
 			for n, status := range row {
 				answers = append(answers, stutterAnswer(t, n, status, &checks))
 			}
-			var mu sync.Mutex
-			counts := map[string]int{}
-			count := func(outcome string) {
-				mu.Lock()
-				defer mu.Unlock()
-				counts[outcome]++
-			}
-			err := kctfake.RunStutterCases(t.Context(), kctfake.StutterCases("Id", answers...), func(s *kctfake.StutterServer, c kctfake.StutterCase) {
+			counts, err := kctfake.RunStutterCases(t.Context(), kctfake.StutterCases("Id", answers...), func(s *kctfake.StutterServer, c kctfake.StutterCase, count func(string)) {
 				runStutterRow(t, row, s, c, count)
 			})
 			if err != nil {
--- a/io/kctstutter/stuttercase.go
+++ b/io/kctstutter/stuttercase.go
@@ -212,29 +212,37 @@
 	return s, err
 }
 
-// RunStutterCases passes each case, with a server that serves it, to run, by several goroutines, and waits for them.
-func RunStutterCases(ctx context.Context, cases []StutterCase, run func(s *StutterServer, c StutterCase)) error {
+// RunStutterCases passes each case, with a server that serves it, to run, by several goroutines, and returns how often run counted each outcome.
+func RunStutterCases(ctx context.Context, cases []StutterCase, run func(s *StutterServer, c StutterCase, count func(outcome string))) (map[string]int, error) {
 	queue := make(chan StutterCase, len(cases))
 	for _, c := range cases {
 		queue <- c
 	}
 	close(queue)
+	var mu sync.Mutex
+	counts := map[string]int{}
+	count := func(outcome string) {
+		mu.Lock()
+		defer mu.Unlock()
+		counts[outcome]++
+	}
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	for range stutterWorkers {
 		s, err := StartStutterServer(ctx)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		workers.Go(func() {
 			defer s.Stop()
 			for c := range queue {
 				s.Set(c)
-				run(s, c)
+				run(s, c, count)
 			}
 		})
 	}
-	return nil
+	workers.Wait()
+	return counts, nil
 }
 
 // Set makes a case the one that is served.
