--- a/io/kctbackend/stutter_test.go
+++ b/io/kctbackend/stutter_test.go
@@ -13,7 +13,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctbackend"
-	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctstutter"
 	"kingcupturn/io/kcttimer"
 	"kingcupturn/io/kctwire"
 )
@@ -44,7 +44,7 @@
 func stutterItems(n int) []kctwire.Item { return []kctwire.Item{{ID: strconv.Itoa(n), Score: 1}} }
 
 // stutterAnswer returns an answer of a row.
-func stutterAnswer(t *testing.T, n, status int, checks *int) kctfake.StutterAnswer {
+func stutterAnswer(t *testing.T, n, status int, checks *int) kctstutter.StutterAnswer {
 	t.Helper()
 	var reply any
 	request := stutterCall(n).Request
@@ -65,7 +65,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return kctfake.StutterAnswer{ID: request, Status: status, Body: string(body)}
+	return kctstutter.StutterAnswer{ID: request, Status: status, Body: string(body)}
 }
 
 // isDropped reports whether an error is that of a request without a usable answer.
@@ -74,7 +74,7 @@
 }
 
 // callOutcome sends the call of a row with a number and says whether its outcome is right, wrong or that of an answer that was dropped.
-func callOutcome(client *kctbackend.Client, s *kctfake.StutterServer, n, status int) (string, error) {
+func callOutcome(client *kctbackend.Client, s *kctstutter.StutterServer, n, status int) (string, error) {
 	reply, err := client.Call(context.Background(), kctport.Endpoint{ID: "i", Address: s.Address}, stutterCall(n))
 	kind, ran := error(nil), kctport.ErrNotRun
 	switch status {
@@ -93,7 +93,7 @@
 }
 
 // checkOutcome makes the status check of a row with a number, as callOutcome.
-func checkOutcome(client *kctbackend.Client, s *kctfake.StutterServer, n int) (string, error) {
+func checkOutcome(client *kctbackend.Client, s *kctstutter.StutterServer, n int) (string, error) {
 	status, err := client.Status(context.Background(), kctport.Endpoint{ID: "i", Address: s.Address})
 	switch {
 	case err != nil:
@@ -105,7 +105,7 @@
 }
 
 // runStutterRow sends the requests of a case one after the other and counts their outcomes.
-func runStutterRow(t *testing.T, row [3]int, s *kctfake.StutterServer, c kctfake.StutterCase, count func(outcome string)) {
+func runStutterRow(t *testing.T, row [3]int, s *kctstutter.StutterServer, c kctstutter.StutterCase, count func(outcome string)) {
 	client := kctbackend.New(kcttimer.New(), kctbackend.WithConnections(1), kctbackend.WithStatusTimeout(stutterTime),
 		kctbackend.WithDropped(func(kctport.InstanceID, string, error) { count("reported") }))
 	defer client.Close()
@@ -129,12 +129,12 @@
 func TestSecondCopyOfReply(t *testing.T) {
 	for name, row := range stutterRows {
 		t.Run(name, func(t *testing.T) {
-			var answers []kctfake.StutterAnswer
+			var answers []kctstutter.StutterAnswer
 			checks := 0
 			for n, status := range row {
 				answers = append(answers, stutterAnswer(t, n, status, &checks))
 			}
-			counts, err := kctfake.RunStutterCases(t.Context(), kctfake.StutterCases("Id", answers...), func(s *kctfake.StutterServer, c kctfake.StutterCase, count func(string)) {
+			counts, err := kctstutter.RunStutterCases(t.Context(), kctstutter.StutterCases("Id", answers...), func(s *kctstutter.StutterServer, c kctstutter.StutterCase, count func(string)) {
 				runStutterRow(t, row, s, c, count)
 			})
 			if err != nil {
--- a/io/kctegress/stutter_test.go
+++ b/io/kctegress/stutter_test.go
@@ -16,7 +16,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctegress"
-	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctstutter"
 	"kingcupturn/io/kcttimer"
 )
 
@@ -32,24 +32,24 @@
 }
 
 // stutterCases lists the cases of the table: a failure follows a success, or the reverse, and an identifier may come twice.
-func stutterCases() []kctfake.StutterCase {
-	answers := func(statuses []int, ids ...string) []kctfake.StutterAnswer {
-		var list []kctfake.StutterAnswer
+func stutterCases() []kctstutter.StutterCase {
+	answers := func(statuses []int, ids ...string) []kctstutter.StutterAnswer {
+		var list []kctstutter.StutterAnswer
 		for n, id := range ids {
-			list = append(list, kctfake.StutterAnswer{ID: id, Status: statuses[n], Body: stutterBody(fmt.Sprint("n", n))})
+			list = append(list, kctstutter.StutterAnswer{ID: id, Status: statuses[n], Body: stutterBody(fmt.Sprint("n", n))})
 		}
 		return list
 	}
-	twice := slices.DeleteFunc(kctfake.StutterCases("Id", answers([]int{200, 500, 200}, "id-a1", "id-a1", "id-a1")...), func(c kctfake.StutterCase) bool {
+	twice := slices.DeleteFunc(kctstutter.StutterCases("Id", answers([]int{200, 500, 200}, "id-a1", "id-a1", "id-a1")...), func(c kctstutter.StutterCase) bool {
 		return !strings.Contains(c.Name, "next answer")
 	})
 	return slices.Concat(twice,
-		kctfake.StutterCases("Id", answers([]int{200, 500, 200}, "id-a1", "id-b2", "id-c3")...),
-		kctfake.StutterCases("Id", answers([]int{500, 200, 200}, "id-a1", "id-b2", "id-c3")...))
+		kctstutter.StutterCases("Id", answers([]int{200, 500, 200}, "id-a1", "id-b2", "id-c3")...),
+		kctstutter.StutterCases("Id", answers([]int{500, 200, 200}, "id-a1", "id-b2", "id-c3")...))
 }
 
 // runStutterCase sends the requests of a case one after the other on kept connections, and counts their outcomes.
-func runStutterCase(t *testing.T, s *kctfake.StutterServer, c kctfake.StutterCase, count func(outcome string)) {
+func runStutterCase(t *testing.T, s *kctstutter.StutterServer, c kctstutter.StutterCase, count func(outcome string)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	k := kctegress.New(kcttimer.New(), dialect{})
 	done := k.Run(ctx)
@@ -77,7 +77,7 @@
 
 // TestSecondCopyOfAnswer guards against answers that consist of bytes of two: servers break answers off at any byte, or send second copies of them that break off at any byte.
 func TestSecondCopyOfAnswer(t *testing.T) {
-	cases := make(chan kctfake.StutterCase)
+	cases := make(chan kctstutter.StutterCase)
 	var mu sync.Mutex
 	outcomes := map[string]int{}
 	count := func(outcome string) {
@@ -87,7 +87,7 @@
 	}
 	var group sync.WaitGroup
 	for range stutterWorkers {
-		s, err := kctfake.StartStutterServer(t.Context())
+		s, err := kctstutter.StartStutterServer(t.Context())
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -181,11 +181,11 @@
 // TestRequestAfterSecondCopy guards against requests that may not be repeated and are lost to second copies of earlier answers, once the endpoint is known for them.
 func TestRequestAfterSecondCopy(t *testing.T) {
 	const requests = 20
-	server := kctfake.NewStutter(func(r *http.Request) []byte {
+	server := kctstutter.NewStutter(func(r *http.Request) []byte {
 		id := r.Header.Get("Id")
 		return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nId: %s\r\n\r\n%s", len(id), id, id)
-	}, func(*http.Request, int) kctfake.StutterPlan {
-		return kctfake.StutterPlan{Copy: true, CopyEnd: 20, InNext: new(int)}
+	}, func(*http.Request, int) kctstutter.StutterPlan {
+		return kctstutter.StutterPlan{Copy: true, CopyEnd: 20, InNext: new(int)}
 	})
 	address, err := server.Start(t.Context())
 	if err != nil {
