--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -53,10 +53,10 @@
 const (
 	heartbeat = 1200 * time.Millisecond
 	// expiry is the silence after which the entry of a server is removed.
-	expiry   = 3 * heartbeat
-	maxPage  = 500
-	leaseMax = 10 * time.Minute
-	leaseMin = time.Second
+	expiry        = 3 * heartbeat
+	maxPage       = 500
+	longestLease  = 10 * time.Minute
+	shortestLease = time.Second
 )
 
 func newStore(host string) (*store, error) {
@@ -290,7 +290,7 @@
 		if json.NewDecoder(r.Body).Decode(&g) != nil {
 			return http.StatusBadRequest, nil
 		}
-		ttl := max(leaseMin, min(leaseMax, time.Duration(g.TTL)*time.Millisecond))
+		ttl := max(shortestLease, min(longestLease, time.Duration(g.TTL)*time.Millisecond))
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.number++
