Bound what callers' requests take by one account

What callers saw: clients that the operator doesn't control ended an entry, which ran out of memory; their own requests were then cut off.

Cause: nothing bounded what is held before a request is served. A body grew by doubling while it was read, for any number of connections; a head of many short lines took some hundred bytes a line; answers that nobody reads stayed in memory; clients that left at once kept the descriptors of an entry without bound.

Change: core/kctquota holds one account for the listeners of a process, with bounds that follow from its memory and its descriptors (new setting files). io/kctguard accepts connections within it and takes from it before more is read: for heads by bytes and lines, for bodies at once where the length is known, for answers until they are written. When something is short, the group of clients that holds most gives way, in it the one that has most for longest; a request that runs never does. The operator's limits on heads and timeouts are kept for each request, also after they change; until now 64 KiB and 10 s held. Refusals are 431, 413, 408 and 503 with Retry-After, all true: the request is not forwarded. Counters and a line in 10 s tell of them.

The account is checked in core/kctquota, the listener in io/kctguard, the refusals in io/kctingress.

Why it works: memory is taken before it is allocated, so that the sum is bounded whatever the crowd sends, and a newcomer's small request always finds an older, heavier one that gives way.

--- a/io/kctbody/body.go
+++ b/io/kctbody/body.go
@@ -128,7 +128,7 @@
 		head = new([freeBody]byte)
 	}
 	defer r.heads.Put(head)
-	size, err := fill(head[:min(freeBody, limit+1)], from)
+	size, err := Fill(head[:min(freeBody, limit+1)], from)
 	if err == io.EOF {
 		return bytes.Clone(head[:size]), nil
 	}
@@ -143,7 +143,7 @@
 		if step == nil {
 			return nil, noMemory(size)
 		}
-		n, err := fill(step[:], from)
+		n, err := Fill(step[:], from)
 		size += n
 		if err == io.EOF && size <= limit {
 			body, ok := r.join(b, head[:first], n)
@@ -163,9 +163,9 @@
 	return eris.Wrapf(kctport.ErrMismatch, "answer of more than %d bytes while others take the memory for such bodies", size)
 }
 
-// fill reads until the buffer is full. Unlike io.ReadFull it returns io.EOF at the end of the body, and so leaves io.ErrUnexpectedEOF for a body that
+// Fill reads until the buffer is full. Unlike io.ReadFull it returns io.EOF at the end of the body, and so leaves io.ErrUnexpectedEOF for a body that
 // breaks off.
-func fill(buffer []byte, from io.Reader) (int, error) {
+func Fill(buffer []byte, from io.Reader) (int, error) {
 	n := 0
 	for n < len(buffer) {
 		m, err := from.Read(buffer[n:])
--- a/io/kctcrowd/form.go
+++ b/io/kctcrowd/form.go
@@ -41,6 +41,16 @@
 	}
 }
 
+// WholeBodyAndLeave sends a request with a body of a size in bytes and closes the connection.
+func WholeBodyAndLeave(request Request, size int) Form {
+	return func(c net.Conn, n int, _ bool) error {
+		if _, err := io.WriteString(c, withLength(request, n, size)+strings.Repeat("x", size)); err != nil {
+			return err
+		}
+		return c.Close()
+	}
+}
+
 func withLength(request Request, n, size int) string {
 	return request("POST", n) + fmt.Sprintf("Content-Length: %d\r\n\r\n", size)
 }
--- a/io/kctingress/server.go
+++ b/io/kctingress/server.go
@@ -1,35 +1,32 @@
 package kctingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
+	"kingcupturn/core/kctquota"
+	"kingcupturn/io/kctguard"
 )
 
 const (
-	// defaultBody in bytes and defaultIdle apply until the operator's limits have been read.
-	defaultBody = 256 << 10
-	defaultIdle = 15 * time.Second
-	// headerTimeout limits the reading of a request's headers; the operator's limit, which callers respect, is shorter.
-	headerTimeout = 10 * time.Second
-	// maxHeader is the largest size of a request's headers in bytes.
-	maxHeader = 64 << 10
-	// idleFactor multiplies the operator's limit of idle time, since callers reuse connections up to that limit.
-	idleFactor = 1.25
-	// idleSweep is the interval at which idle connections are checked.
-	idleSweep = time.Second
+	// defaultHead and defaultBody in bytes, defaultHeadTimeout and defaultIdle apply until the operator's limits have been read, and where they name none.
+	defaultHead        = 16 << 10
+	defaultBody        = 256 << 10
+	defaultHeadTimeout = 10 * time.Second
+	defaultIdle        = 15 * time.Second
+	// retryAfter is the delay after which a caller whose body was refused for want of memory is asked to retry.
+	retryAfter = 150 * time.Millisecond
+	// listenerName names the listener in logs and metrics.
+	listenerName = "callers"
 )
 
 // Server serves callers' requests at one address.
@@ -39,32 +36,25 @@
 	fleets             kctport.Fleets
 	dialect            kctport.Dialect
 	timer              kctport.Timer
+	guard              *kctguard.Guard
 	http               *http.Server
 	keepAlivesDisabled atomic.Bool
 	requests           atomic.Uint64
-
-	mu        sync.Mutex
-	idleSince map[net.Conn]time.Time
 }
 
-// New returns a server that isn't listening yet.
-func New(address netip.AddrPort, forwarder kctport.Forwarder, fleets kctport.Fleets, dialect kctport.Dialect, timer kctport.Timer) *Server {
-	s := &Server{
-		address: address, forwarder: forwarder, fleets: fleets, dialect: dialect, timer: timer,
-		idleSince: map[net.Conn]time.Time{},
-	}
-	s.http = &http.Server{
-		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader,
-		ConnState: s.trackIdle, ErrorLog: klog.NewStandardLogger("WARNING"),
-	}
+// New returns a server that isn't listening yet; its connections take from the guard's account.
+func New(address netip.AddrPort, forwarder kctport.Forwarder, fleets kctport.Fleets, dialect kctport.Dialect, timer kctport.Timer, guard *kctguard.Guard) *Server {
+	s := &Server{address: address, forwarder: forwarder, fleets: fleets, dialect: dialect, timer: timer, guard: guard}
+	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ErrorLog: klog.NewStandardLogger("WARNING")}
+	kctguard.Serve(s.http)
 	return s
 }
 
 // Start listens and serves; the channel receives the error that ended serving, nil after Shutdown.
 func (s *Server) Start(ctx context.Context) (<-chan error, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.address.String())
+	l, err := s.guard.ListenHTTP(ctx, listenerName, s.address, s.limits)
 	if err != nil {
-		return nil, eris.Wrapf(kctport.ErrUnavailable, "listen at %s: %v", s.address, err)
+		return nil, err
 	}
 	done := make(chan error, 1)
 	go func() {
@@ -74,7 +64,6 @@
 		}
 		done <- err
 	}()
-	go s.closeIdle(ctx)
 	return done, nil
 }
 
@@ -88,12 +77,16 @@
 	return s.http.Shutdown(ctx)
 }
 
+// limits returns the operator's limits, and the defaults for those that it doesn't name.
 func (s *Server) limits() kctport.CallerLimits {
-	l := kctport.CallerLimits{BodyBytes: defaultBody, IdleTimeout: defaultIdle}
+	var l kctport.CallerLimits
 	if r := s.fleets.Fleet().Rules; r != nil {
 		l = r.Limits
 	}
-	return l
+	return kctport.CallerLimits{
+		HeaderBytes: cmp.Or(l.HeaderBytes, defaultHead), BodyBytes: cmp.Or(l.BodyBytes, defaultBody),
+		HeaderTimeout: cmp.Or(l.HeaderTimeout, defaultHeadTimeout), IdleTimeout: cmp.Or(l.IdleTimeout, defaultIdle),
+	}
 }
 
 // Requests returns the number of requests since the start.
@@ -103,21 +96,27 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	s.requests.Add(1)
-	received := s.timer.Now()
+	begun := s.timer.Now()
 	header := kctport.Header(r.Header)
 	id, wait, ok := s.dialect.Request(header)
 	if !ok {
 		s.writeReply(w, &kctport.Reply{Status: http.StatusBadRequest, Local: true, Reason: "no request identifier"})
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, int64(s.limits().BodyBytes)))
+	limits := s.limits()
+	if headSize(r) > limits.HeaderBytes {
+		s.refuseSize(w, r, id, http.StatusRequestHeaderFieldsTooLarge, "head too long")
+		return
+	}
+	deadline := begun.Add(wait)
+	body, err := s.readBody(w, r, int64(limits.BodyBytes), deadline)
 	if err != nil {
-		s.handleBodyError(w, id, err)
+		s.handleBodyError(w, r, id, err)
 		return
 	}
 	reply := s.forwarder.Forward(r.Context(), &kctport.Message{
 		ID: id, Method: r.Method, Target: r.RequestURI, Path: r.URL.EscapedPath(), Host: r.Host,
-		Header: header, Body: body, Received: received, Deadline: received.Add(wait),
+		Header: header, Body: body, Received: begun, Deadline: deadline,
 	})
 	if r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
@@ -125,16 +124,58 @@
 	s.writeReply(w, &reply)
 }
 
-// handleBodyError answers a request whose body is too large, and aborts one whose body could not be read; neither is forwarded.
-func (s *Server) handleBodyError(w http.ResponseWriter, id string, err error) {
+// headSize returns the size in bytes of a request's head without what its lines need not have.
+func headSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(":\r\n")
+		}
+	}
+	return size
+}
+
+// readBody reads the body of a request of whose head the deadline is known; the error is that of MaxBytesReader for one above the limit, or of Conn.ReadBody.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	conn := kctguard.FromContext(r.Context())
+	conn.WaitUntil(deadline)
+	body, err := conn.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	if err != nil {
+		return nil, err
+	}
+	return body, conn.Run()
+}
+
+// handleBodyError refuses a request whose body is too large or has no room, and aborts one whose body could not be read; none is forwarded.
+func (s *Server) handleBodyError(w http.ResponseWriter, r *http.Request, id string, err error) {
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		klog.InfoS("request body too large", "request", id, "limit", large.Limit)
-		s.writeReply(w, &kctport.Reply{Status: http.StatusRequestEntityTooLarge, Local: true, Reason: "body too large"})
-		return
+	switch {
+	case errors.As(err, &large):
+		s.refuseSize(w, r, id, http.StatusRequestEntityTooLarge, "body too large")
+	case errors.Is(err, kctport.ErrShed):
+		s.refuse(w, &kctport.Reply{Status: http.StatusServiceUnavailable, Local: true, Reason: "no memory for the request", RetryAfter: retryAfter})
+	case errors.Is(err, kctport.ErrTimeout):
+		s.refuse(w, &kctport.Reply{Status: http.StatusRequestTimeout, Local: true, Reason: "body not received in time"})
+	default:
+		klog.V(1).InfoS("request body not read", "request", id, "err", err)
+		panic(http.ErrAbortHandler)
 	}
-	klog.InfoS("request body not read", "request", id, "err", err)
-	panic(http.ErrAbortHandler)
+}
+
+// refuseSize refuses a request above a limit.
+func (s *Server) refuseSize(w http.ResponseWriter, r *http.Request, id string, status int, reason string) {
+	s.guard.Refused(listenerName, kctquota.ReasonSize)
+	klog.V(1).InfoS("request too large", "request", id, "caller", r.RemoteAddr, "reason", reason)
+	s.refuse(w, &kctport.Reply{Status: status, Local: true, Reason: reason})
+}
+
+// refuse answers a request that is not read to its end, and closes the connection.
+func (s *Server) refuse(w http.ResponseWriter, reply *kctport.Reply) {
+	w.Header().Set("Connection", "close")
+	s.writeReply(w, reply)
 }
 
 func (s *Server) writeReply(w http.ResponseWriter, reply *kctport.Reply) {
@@ -159,38 +200,3 @@
 		klog.V(1).InfoS("answer not delivered", "err", err)
 	}
 }
-
-// trackIdle records when a connection was opened or became idle, and removes the record when it is used or closed.
-func (s *Server) trackIdle(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle || state == http.StateNew {
-		s.idleSince[c] = s.timer.Now()
-		return
-	}
-	delete(s.idleSince, c)
-}
-
-// closeIdle closes connections that have been idle for longer than the operator's limit times idleFactor, until the context ends.
-func (s *Server) closeIdle(ctx context.Context) {
-	ticks := s.timer.Subscribe(ctx, idleSweep)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticks:
-		}
-		limit := time.Duration(idleFactor * float64(s.limits().IdleTimeout))
-		if limit <= 0 {
-			continue
-		}
-		now := s.timer.Now()
-		s.mu.Lock()
-		for c, since := range s.idleSince {
-			if now.Sub(since) > limit {
-				c.Close()
-			}
-		}
-		s.mu.Unlock()
-	}
-}
--- a/io/kctmetric/metrics.go
+++ b/io/kctmetric/metrics.go
@@ -5,12 +5,25 @@
 	"time"
 
 	kctport "kingcupturn"
+	"kingcupturn/core/kctquota"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
+const (
+	refusedClients     = "clients_refused_total"
+	refusedClientsHelp = "Clients that were refused and connections that were closed for others or for a timeout, by listener and reason."
+	// maxScrapes bounds the scrapes that are answered at the same time, since each takes memory for all metrics; further ones get 503.
+	maxScrapes = 4
+)
+
+// ClientRefused counts a client that was refused, or whose connection was closed, at a listener.
+func (m *Metrics) ClientRefused(listener string, reason kctquota.Reason) {
+	m.clients.WithLabelValues(listener, string(reason)).Inc()
+}
+
 // Namespace is the prefix of every metric name of an entry.
 const Namespace = "kingcupturn"
 
@@ -30,6 +43,7 @@
 	sheds       *prometheus.CounterVec
 	refusals    *prometheus.CounterVec
 	violations  *prometheus.CounterVec
+	clients     *prometheus.CounterVec
 	controlLoop prometheus.Histogram
 	// baseObjective is the center of the latency buckets and the objective of a service without one.
 	baseObjective time.Duration
@@ -57,6 +71,7 @@
 	m.parts = m.newCounter("parts_total", "Parts of queries, answered or missing.", "result")
 	m.sheds = m.newCounter("sheds_total", "Attempts refused for lack of capacity, by service.", "service")
 	m.refusals = m.newCounter("refusals_total", "Requests refused to callers, by whether they ran: no or unknown.", "ran")
+	m.clients = m.newCounter(refusedClients, refusedClientsHelp, "listener", "reason")
 	m.violations = m.newCounter("violations_total", "Violations of run time invariants by name.", "invariant")
 	m.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: Namespace, Name: "latency_seconds", Help: "Latency of requests by kind, each counted once.",
@@ -76,7 +91,7 @@
 
 // Handler serves the metrics in the exposition format.
 func (m *Metrics) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
 // Gatherer returns the registry for readers in the same process.
--- a/io/kctmetric/serving.go
+++ b/io/kctmetric/serving.go
@@ -7,6 +7,7 @@
 	kctport "kingcupturn"
 	"kingcupturn/core/kctbalance"
 	"kingcupturn/core/kctforward"
+	"kingcupturn/core/kctquota"
 	"kingcupturn/core/kctsuspect"
 	"kingcupturn/io/kctegress"
 
@@ -30,6 +31,8 @@
 	// decisions counts failed attempts and missing shards by what happened.
 	decisions  *prometheus.CounterVec
 	violations *prometheus.CounterVec
+	// refused counts clients by listener and reason.
+	refused *prometheus.CounterVec
 }
 
 // NewServing returns metrics in a registry of their own. Routes are grouped by kind and priority to bound the number of label values, since rules may
@@ -47,6 +50,7 @@
 	m.attempts = counter("attempts_total", "Attempts at endpoints by kind: first, hedge or retry.", "kind")
 	m.parts = counter("parts_total", "Parts of gathered answers, answered or missing.", "result")
 	m.violations = counter("violations_total", "Violations of run time invariants by name.", "invariant")
+	m.refused = counter(refusedClients, refusedClientsHelp, "listener", "reason")
 	m.decisions = counter("decisions_total", "Decisions about requests that were not served plainly.", "what")
 	m.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Namespace: Namespace, Name: "latency_seconds", Help: "Time from the reading of a request to its answer.", Buckets: latencyBuckets,
@@ -57,7 +61,22 @@
 
 // Handler serves the metrics in the exposition format.
 func (m *Serving) Handler() http.Handler {
-	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
+}
+
+// ClientRefused counts a client that was refused, or whose connection was closed, at a listener.
+func (m *Serving) ClientRefused(listener string, reason kctquota.Reason) {
+	m.refused.WithLabelValues(listener, string(reason)).Inc()
+}
+
+// RegisterClients registers gauges of what clients hold.
+func (m *Serving) RegisterClients(usage func() kctquota.Usage) {
+	gauge := func(name, help string, read func(kctquota.Usage) int) {
+		opts := prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}
+		m.registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return float64(read(usage())) }))
+	}
+	gauge("client_connections", "Open connections of clients.", func(u kctquota.Usage) int { return u.Connections })
+	gauge("client_bytes", "Memory in bytes that requests and answers of clients hold beyond that of their connections.", func(u kctquota.Usage) int { return u.Bytes })
 }
 
 // Violation counts a violated invariant; it has the signature of the report function of core/kctcheck.
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -27,6 +27,7 @@
 	"kingcupturn/core/kctsuspect"
 	"kingcupturn/io/kctegress"
 	"kingcupturn/io/kctfeed"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctingress"
 	"kingcupturn/io/kctlog"
 	"kingcupturn/io/kctmetric"
@@ -73,6 +74,7 @@
 	ingress        *kctingress.Server
 	relay          *kctrelay.Client
 	relays         *kctrelay.Server
+	guard          *kctguard.Guard
 }
 
 // Option configures a Node.
@@ -100,6 +102,8 @@
 	}
 	n.settings = settings
 	n.budgetSettings.Store(&kctbalance.BudgetSettings{Ratio: settings.Ratio, Slack: settings.Slack})
+	n.guard = kctguard.New(n.timer, settings.Memory, settings.Files, kctguard.WithObserver(n.metrics.ClientRefused))
+	n.metrics.RegisterClients(n.guard.Usage)
 	log := kctlog.DecisionLogger{}
 	seed := uint64(n.timer.Now().UnixNano())
 	n.policies = kctforward.Policies{
@@ -135,7 +139,7 @@
 	path := kctrelaypath.New(n.self(), n.control, n.egress, n.relay, n.timer)
 	n.engine = kctforward.NewEngine(n.control, n.timer, path, n.policies, observers{log, n.metrics},
 		kctforward.WithAttemptObserver(n.control), kctforward.WithSuspects(n.suspects), kctforward.WithApplyDeadline(settings.Apply))
-	n.ingress = kctingress.New(settings.Caller, n.engine, n.control, kctadapter.Dialect{}, n.timer)
+	n.ingress = kctingress.New(settings.Caller, n.engine, n.control, kctadapter.Dialect{}, n.timer, n.guard)
 	return n
 }
 
@@ -189,6 +193,7 @@
 	parts := []kctstop.Part{
 		kctstop.On("control", n.control.Run(work)), kctstop.On("egress", n.egress.Run(work)),
 		kctstop.On("suspects", n.suspects.Run(work)), kctstop.On("usage", n.usage.Run(work)),
+		kctstop.On("guard", n.guard.Run(work)),
 	}
 	feeds, err := kctfeed.NewServer(n.settings.Peer, n.control, n.timer).Start(work)
 	if err != nil {
--- a/io/kctsetting/serve.go
+++ b/io/kctsetting/serve.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 )
 
 // Serving contains the validated settings of an entry on the users' platform.
@@ -33,6 +34,8 @@
 	Cores float64
 	// Memory is the memory limit of the process in MiB.
 	Memory int
+	// Files is the number of file descriptors that the process may have open.
+	Files int
 	// Grace is the time from the request to stop until the process has ended.
 	Grace time.Duration
 	// Ratio and Slack limit the extra attempts for a service over all entries in one window: Ratio times its requests plus Slack.
@@ -57,25 +60,27 @@
 
 // The bounds and defaults of the settings; the defaults follow the values in the platform's site files.
 const (
-	minMemory     = 32
-	maxMemory     = 64 << 10
-	defaultMemory = 256
-	minGrace      = time.Second
-	maxGrace      = 5 * time.Minute
-	defaultGrace  = "6s"
-	defaultRatio  = 0.2
-	maxRatio      = 1
-	maxCores      = 256
-	defaultSlack  = 50
-	maxSlack      = 1e6
-	minApply      = 500 * time.Millisecond
-	maxApply      = time.Minute
-	defaultApply  = "3s"
-	minDrain      = 100 * time.Millisecond
-	maxDrain      = 10 * time.Minute
-	defaultDrain  = "3s"
-	minHeartbeat  = 100 * time.Millisecond
-	maxHeartbeat  = time.Minute
+	minMemory = 32
+	maxMemory = 64 << 10
+	// minFiles leaves a few for sockets beside those reserved for files.
+	minFiles     = 220
+	maxFiles     = 1 << 20
+	minGrace     = time.Second
+	maxGrace     = 5 * time.Minute
+	defaultGrace = "6s"
+	defaultRatio = 0.2
+	maxRatio     = 1
+	maxCores     = 256
+	defaultSlack = 50
+	maxSlack     = 1e6
+	minApply     = 500 * time.Millisecond
+	maxApply     = time.Minute
+	defaultApply = "3s"
+	minDrain     = 100 * time.Millisecond
+	maxDrain     = 10 * time.Minute
+	defaultDrain = "3s"
+	minHeartbeat = 100 * time.Millisecond
+	maxHeartbeat = time.Minute
 	// defaultHeartbeat is the value of the users' deployments.
 	defaultHeartbeat = "1.2s"
 	// defaultOvershoot and defaultColdSlack are the limits for cold endpoints that the users require.
@@ -90,7 +95,7 @@
 // ServingValues holds the flag values before validation, so that Check can report all problems at once.
 type ServingValues struct {
 	id, zone, caller, ready, directory, metrics, peer, relay, store, grace, zones, apply, heartbeat, drain string
-	memory                                                                                                 int
+	memory, files                                                                                          int
 	ratio, slack, quota, cores, overshoot, coldSlack, expose, exposeSlack                                  float64
 }
 
@@ -108,7 +113,8 @@
 	set.StringVar(&v.relay, "relay", "", "`ip:port` for attempts of entries of other zones, with the IP address of peer")
 	set.StringVar(&v.store, "store", "", "`ip:port` of the platform's store")
 	set.StringVar(&v.grace, "grace", defaultGrace, "time between the request to stop and the end, 1s to 5m")
-	set.IntVar(&v.memory, "memory", defaultMemory, "memory limit of the process in MiB, 32 to 65536")
+	set.IntVar(&v.memory, "memory", kctguard.DefaultMemory, "memory limit of the process in MiB, 32 to 65536")
+	set.IntVar(&v.files, "files", kctguard.DefaultFiles, "file descriptors of the process, 220 to 1048576; clients get up to half of those for sockets")
 	set.Float64Var(&v.quota, "quota", 1, "share of a core that the process may use, above 0 to 1")
 	set.Float64Var(&v.cores, "cores", 1, "number of cores, above 0 to 256")
 	set.Float64Var(&v.ratio, "ratio", defaultRatio, "extra attempts at a service over all entries, as a share of its requests, 0 to 1")
@@ -157,7 +163,7 @@
 		ID: kctport.InstanceID(v.id), Zone: kctport.Zone(v.zone),
 		Caller: p.address("caller", v.caller), Ready: p.address("ready", v.ready), Directory: p.address("directory", v.directory),
 		Metrics: p.address("metrics", v.metrics), Peer: p.address("peer", v.peer), Relay: p.address("relay", v.relay), Store: p.address("store", v.store),
-		Cores: v.quota * v.cores, Memory: v.memory, Ratio: v.ratio, Slack: v.slack,
+		Cores: v.quota * v.cores, Memory: v.memory, Files: v.files, Ratio: v.ratio, Slack: v.slack,
 		Overshoot: v.overshoot, ColdSlack: v.coldSlack, Expose: v.expose, ExposeSlack: v.exposeSlack, Zones: parseZones(v.zones),
 		Grace: p.duration("grace", v.grace, minGrace, maxGrace), Apply: p.duration("apply", v.apply, minApply, maxApply),
 		Heartbeat: p.duration("heartbeat", v.heartbeat, minHeartbeat, maxHeartbeat), Drain: p.duration("drain", v.drain, minDrain, maxDrain),
@@ -166,6 +172,7 @@
 		p.add("relay", v.relay, "the IP address of peer")
 	}
 	p.between("memory", v.memory, minMemory, maxMemory)
+	p.between("files", v.files, minFiles, maxFiles)
 	p.upTo("quota", v.quota, 1)
 	p.upTo("cores", v.cores, maxCores)
 	if s.Cores <= 0 {
