Bound what clients of readiness, directory and metrics take

What an operator saw: a crowd at the address of readiness checks, the directory or the metrics took the memory of the entry as at the callers' one.

Cause: these listeners were plain ones with a timeout for heads of 5 s; each head of many short lines took about 1 MB until then.

Change: they are opened by the guard and share the process's account; groups of clients are told apart by listener, so that a crowd at one doesn't keep others out of another.

--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"reflect"
@@ -12,7 +11,6 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/rotisserie/eris"
 	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
@@ -251,8 +249,12 @@
 	metrics.GET("/metrics", echo.WrapHandler(n.metrics.Handler()))
 	kctadapter.ServeReadiness(ready, n.ready)
 	kctadapter.ServeDirectory(directory, kctdirectory.New(n.control, n.settings.Zones))
-	for at, e := range map[netip.AddrPort]*echo.Echo{n.settings.Ready: ready, n.settings.Directory: directory, n.settings.Metrics: metrics} {
-		if err := listen(ctx, at, e, done); err != nil {
+	for _, a := range []struct {
+		name    string
+		address netip.AddrPort
+		handler http.Handler
+	}{{"readiness", n.settings.Ready, ready}, {"directory", n.settings.Directory, directory}, {"metrics", n.settings.Metrics, metrics}} {
+		if err := n.listen(ctx, a.name, a.address, a.handler, done); err != nil {
 			return nil, err
 		}
 	}
@@ -263,18 +265,17 @@
 	return kctport.EntryRecord{ID: n.settings.ID, Zone: n.settings.Zone, Caller: n.settings.Caller, Peer: n.settings.Peer, Relay: n.settings.Relay, Cores: n.settings.Cores}
 }
 
-// headerTimeout limits the reading of a request's headers, and idleTimeout the time that a connection stays idle.
-const (
-	headerTimeout = 5 * time.Second
-	idleTimeout   = time.Minute
-)
+// auxiliaryLimits bound the requests at the addresses other than that for callers.
+var auxiliaryLimits = kctport.CallerLimits{HeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
 
-func listen(ctx context.Context, at netip.AddrPort, handler http.Handler, done chan<- error) error {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", at.String())
+// listen serves a handler at an address; the channel receives the error that ends it.
+func (n *Node) listen(ctx context.Context, name string, at netip.AddrPort, handler http.Handler, done chan<- error) error {
+	l, err := n.guard.ListenHTTP(ctx, name, at, func() kctport.CallerLimits { return auxiliaryLimits })
 	if err != nil {
-		return eris.Wrapf(kctport.ErrUnavailable, "listen at %s: %v", at, err)
+		return err
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: klog.NewStandardLogger("WARNING")}
+	s := &http.Server{Handler: handler, ErrorLog: klog.NewStandardLogger("WARNING")}
+	kctguard.Serve(s)
 	go func() { done <- s.Serve(l) }()
 	return nil
 }
