Bound what connections between entries take before their first message

What an operator saw: connections at the addresses for feeds and relays on which nothing, or a part of a message, was sent took descriptors and memory without bound.

Cause: a message's length alone made the receiver allocate it, up to 64 MiB, and nobody counted connections that had not said anything.

Change: the guard opens these listeners too. A second stream of a session is refused, since its window would hold bytes that nobody reads.

--- a/io/kctfeed/feed_test.go
+++ b/io/kctfeed/feed_test.go
@@ -14,6 +14,7 @@
 	kctport "kingcupturn"
 	"kingcupturn/io/kctfake"
 	"kingcupturn/io/kctfeed"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kcttimer"
 )
@@ -114,7 +115,7 @@
 		{Changes: []kctport.RegistryChange{{Key: "small", Value: []byte("v"), Revision: kctport.StoreRevision{Era: 1, Number: 8}}, {Key: "large", Revision: kctport.StoreRevision{Era: 1, Number: 9}, Deleted: true}}, Store: kctport.StoreContact{Watcher: "w", Hops: 1, Age: time.Minute, Silence: time.Second, Steady: time.Hour, Revision: kctport.StoreRevision{Era: 1, Number: 9}}},
 	}}
 	ctx, cancel := context.WithCancel(context.Background())
-	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
+	served, err := kctfeed.NewServer(address, s, kcttimer.New(), kctguard.New(kcttimer.New(), 256, 4096)).Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -155,7 +156,7 @@
 	address := freeAddress(t)
 	s := &source{heartbeats: make(chan kctport.FeedHeartbeat, 1), ended: make(chan struct{}, 1)}
 	ctx, cancel := context.WithCancel(context.Background())
-	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
+	served, err := kctfeed.NewServer(address, s, kcttimer.New(), kctguard.New(kcttimer.New(), 256, 4096)).Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -181,7 +182,7 @@
 	address := freeAddress(t)
 	s := &source{heartbeats: make(chan kctport.FeedHeartbeat, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{{Full: true}, {Store: kctport.StoreContact{Watcher: "w", Age: time.Millisecond}}}}
 	ctx, cancel := context.WithCancel(context.Background())
-	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
+	served, err := kctfeed.NewServer(address, s, kcttimer.New(), kctguard.New(kcttimer.New(), 256, 4096)).Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -218,7 +219,7 @@
 	address := freeAddress(t)
 	s := &source{heartbeats: make(chan kctport.FeedHeartbeat, 1), ended: make(chan struct{}, 1), updates: []kctport.FeedUpdate{{Full: true}, {}}}
 	ctx, cancel := context.WithCancel(context.Background())
-	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
+	served, err := kctfeed.NewServer(address, s, kcttimer.New(), kctguard.New(kcttimer.New(), 256, 4096)).Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -257,7 +258,7 @@
 		heartbeats: make(chan kctport.FeedHeartbeat, 1), ended: make(chan struct{}, 1),
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	served, err := kctfeed.NewServer(address, s, kcttimer.New()).Start(ctx)
+	served, err := kctfeed.NewServer(address, s, kcttimer.New(), kctguard.New(kcttimer.New(), 256, 4096)).Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kctfeed/server.go
+++ b/io/kctfeed/server.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctmux"
 	"kingcupturn/io/kctproto"
 )
@@ -16,17 +17,18 @@
 	address netip.AddrPort
 	source  kctport.FeedSource
 	timer   kctport.Timer
+	guard   *kctguard.Guard
 	encoder *encoder
 }
 
-// NewServer returns a server that doesn't listen before Start.
-func NewServer(address netip.AddrPort, source kctport.FeedSource, timer kctport.Timer) *Server {
-	return &Server{address: address, source: source, timer: timer, encoder: newEncoder()}
+// NewServer returns a server that doesn't listen before Start; its connections take from the guard's account.
+func NewServer(address netip.AddrPort, source kctport.FeedSource, timer kctport.Timer, guard *kctguard.Guard) *Server {
+	return &Server{address: address, source: source, timer: timer, guard: guard, encoder: newEncoder()}
 }
 
 // Start listens until the context ends; the channel closes when all feeds have ended. An error wraps ErrUnavailable.
 func (s *Server) Start(ctx context.Context) (<-chan struct{}, error) {
-	return kctmux.Serve(ctx, s.timer, "feeds", s.address, streamOptions, s.serve)
+	return kctmux.Serve(ctx, s.guard, s.timer, "feeds", s.address, streamOptions, s.serve)
 }
 
 // serve handles one feed: it reads from the subscriber while another goroutine writes updates.
--- a/io/kctmux/serve.go
+++ b/io/kctmux/serve.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 )
 
 // acceptRetryDelay is the pause after a connection could not be accepted, for which a want of file descriptors is the usual cause.
@@ -22,12 +23,12 @@
 // Handler serves one stream until it ends; the context ends when the server stops.
 type Handler func(ctx context.Context, s *Stream) error
 
-// Serve accepts connections at the address until the context ends; the channel is closed when all streams have ended. Logs show the name. An error
-// wraps ErrUnavailable.
-func Serve(ctx context.Context, timer kctport.Timer, name string, address netip.AddrPort, o Options, handle Handler) (<-chan struct{}, error) {
-	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address.String())
+// Serve accepts connections at the address, within the guard's account, until the context ends; the channel is closed when all streams have ended. Logs
+// show the name. An error wraps ErrUnavailable.
+func Serve(ctx context.Context, guard *kctguard.Guard, timer kctport.Timer, name string, address netip.AddrPort, o Options, handle Handler) (<-chan struct{}, error) {
+	l, err := guard.ListenPeers(ctx, name, address)
 	if err != nil {
-		return nil, eris.Wrapf(kctport.ErrUnavailable, "listen for %s at %s: %v", name, address, err)
+		return nil, err
 	}
 	context.AfterFunc(ctx, func() { l.Close() })
 	s := &server{timer: timer, name: name, options: o, handle: handle}
@@ -70,7 +71,10 @@
 
 // serve handles the one stream of a connection until the stream ends.
 func (s *server) serve(ctx context.Context, conn net.Conn) {
-	session, err := yamux.Server(conn, s.options.config())
+	config := s.options.config()
+	// A further stream would hold a receive window that nobody reads.
+	config.AcceptBacklog = 1
+	session, err := yamux.Server(conn, config)
 	if err != nil {
 		conn.Close()
 		klog.InfoS("cannot open session", "for", s.name, "peer", conn.RemoteAddr(), "err", err)
@@ -84,7 +88,9 @@
 		klog.V(1).InfoS("cannot accept stream", "for", s.name, "peer", conn.RemoteAddr(), "err", err)
 		return
 	}
-	err = s.handleSafely(ctx, newStream(session, accepted, s.options))
+	stream := newStream(session, accepted, s.options)
+	stream.client, _ = conn.(*kctguard.Conn)
+	err = s.handleSafely(ctx, stream)
 	klog.V(1).InfoS("stream ended", "for", s.name, "peer", conn.RemoteAddr(), "err", err)
 }
 
--- a/io/kctmux/serve_test.go
+++ b/io/kctmux/serve_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctmux"
 	"kingcupturn/io/kctproto"
 	"kingcupturn/io/kcttimer"
@@ -23,7 +24,7 @@
 	l.Close()
 	ctx, stop := context.WithCancel(context.Background())
 	var streams atomic.Int32
-	served, err := kctmux.Serve(ctx, kcttimer.New(), "test", address, kctmux.Options{KeepAlive: time.Second}, func(_ context.Context, s *kctmux.Stream) error {
+	served, err := kctmux.Serve(ctx, kctguard.New(kcttimer.New(), 256, 4096), kcttimer.New(), "test", address, kctmux.Options{KeepAlive: time.Second}, func(_ context.Context, s *kctmux.Stream) error {
 		var call kctproto.RelayCall
 		if err := s.Receive(&call); err != nil {
 			return err
--- a/io/kctmux/stream.go
+++ b/io/kctmux/stream.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctpeer"
 )
 
@@ -20,6 +21,8 @@
 	writeTimeout = time.Second
 	// maxMessage is the largest message in bytes that is received; a full feed update with 71,000 endpoints has about 20 MB.
 	maxMessage = 64 << 20
+	// maxRequest is the largest message in bytes that an accepted stream receives; entries send small ones to those that they call.
+	maxRequest = 8 << 20
 )
 
 // Options are the settings of a stream; both ends use the same.
@@ -50,7 +53,10 @@
 	conn        net.Conn
 	reader      *bufio.Reader
 	idleTimeout time.Duration
-	mu          sync.Mutex
+	// client is the connection of a stream that was accepted, nil for one that this process opened; admitted is set after its first message.
+	client   *kctguard.Conn
+	admitted bool
+	mu       sync.Mutex
 }
 
 func newStream(session *yamux.Session, conn net.Conn, o Options) *Stream {
@@ -77,6 +83,12 @@
 	s.session.Close()
 }
 
+// Take takes memory in bytes for what an accepted stream has received, until Give or the end of the stream; the error wraps ErrNotRun.
+func (s *Stream) Take(size int) error { return s.client.Take(size) }
+
+// Give gives memory in bytes back.
+func (s *Stream) Give(size int) { s.client.Give(size) }
+
 // Send writes a message; it fails when the write takes longer than writeTimeout.
 func (s *Stream) Send(m proto.Message) error {
 	return s.SendFunc(func() proto.Message { return m })
@@ -94,12 +106,27 @@
 	return err
 }
 
-// Receive reads the next message; it fails when the message is larger than maxMessage or does not arrive within IdleTimeout.
+// Receive reads the next message; it fails when the message is larger than allowed or does not arrive within IdleTimeout. Streams that were accepted get
+// memory for a message as its bytes arrive.
 func (s *Stream) Receive(m proto.Message) error {
 	if s.idleTimeout > 0 {
 		if err := s.conn.SetReadDeadline(time.Now().Add(s.idleTimeout)); err != nil {
 			return err
 		}
 	}
-	return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(s.reader, m)
+	if s.client == nil {
+		return protodelim.UnmarshalOptions{MaxSize: maxMessage}.UnmarshalFrom(s.reader, m)
+	}
+	data, taken, err := s.client.ReadMessage(s.reader, maxRequest)
+	defer s.client.Give(taken)
+	if err != nil {
+		return err
+	}
+	if !s.admitted {
+		s.admitted = true
+		if err := s.client.Admit(); err != nil {
+			return err
+		}
+	}
+	return proto.Unmarshal(data, m)
 }
--- a/io/kctnode/node.go
+++ b/io/kctnode/node.go
@@ -133,7 +133,7 @@
 	})
 	n.metrics.RegisterSuspects(n.suspects)
 	n.relay = kctrelay.NewClient(n.timer)
-	n.relays = kctrelay.NewServer(settings.Relay, kctrelaypath.NewServer(n.control, n.egress, n.policies.Balancer, n.timer), n.timer)
+	n.relays = kctrelay.NewServer(settings.Relay, kctrelaypath.NewServer(n.control, n.egress, n.policies.Balancer, n.timer), n.timer, n.guard)
 	path := kctrelaypath.New(n.self(), n.control, n.egress, n.relay, n.timer)
 	n.engine = kctforward.NewEngine(n.control, n.timer, path, n.policies, observers{log, n.metrics},
 		kctforward.WithAttemptObserver(n.control), kctforward.WithSuspects(n.suspects), kctforward.WithApplyDeadline(settings.Apply))
@@ -193,7 +193,7 @@
 		kctstop.On("suspects", n.suspects.Run(work)), kctstop.On("usage", n.usage.Run(work)),
 		kctstop.On("guard", n.guard.Run(work)),
 	}
-	feeds, err := kctfeed.NewServer(n.settings.Peer, n.control, n.timer).Start(work)
+	feeds, err := kctfeed.NewServer(n.settings.Peer, n.control, n.timer, n.guard).Start(work)
 	if err != nil {
 		return err
 	}
--- a/io/kctrelay/relay_test.go
+++ b/io/kctrelay/relay_test.go
@@ -15,6 +15,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kctrelay"
 	"kingcupturn/io/kcttimer"
@@ -81,7 +82,7 @@
 	l.Close()
 	f := &fixture{client: kctrelay.NewClient(kcttimer.New()), handler: &handler{cancelled: make(chan struct{})}, proxy: kctfake.NewRelay(address)}
 	ctx, cancel := context.WithCancel(context.Background())
-	served, err := kctrelay.NewServer(address, f.handler, kcttimer.New()).Start(ctx)
+	served, err := kctrelay.NewServer(address, f.handler, kcttimer.New(), kctguard.New(kcttimer.New(), 256, 4096)).Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/kctrelay/server.go
+++ b/io/kctrelay/server.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctmux"
 	"kingcupturn/io/kctproto"
 )
@@ -26,13 +27,14 @@
 	address netip.AddrPort
 	handler kctport.RelayHandler
 	timer   kctport.Timer
+	guard   *kctguard.Guard
 	// requests counts the attempts since the start.
 	requests atomic.Uint64
 }
 
-// NewServer returns a server that doesn't listen before Start.
-func NewServer(address netip.AddrPort, handler kctport.RelayHandler, timer kctport.Timer) *Server {
-	return &Server{address: address, handler: handler, timer: timer}
+// NewServer returns a server that doesn't listen before Start; its connections take from the guard's account.
+func NewServer(address netip.AddrPort, handler kctport.RelayHandler, timer kctport.Timer, guard *kctguard.Guard) *Server {
+	return &Server{address: address, handler: handler, timer: timer, guard: guard}
 }
 
 // Requests returns the number of attempts since the start.
@@ -42,7 +44,7 @@
 
 // Start listens until the context ends; the channel closes when all attempts have ended. An error wraps ErrUnavailable.
 func (s *Server) Start(ctx context.Context) (<-chan struct{}, error) {
-	return kctmux.Serve(ctx, s.timer, "relays", s.address, streamOptions, s.serve)
+	return kctmux.Serve(ctx, s.guard, s.timer, "relays", s.address, streamOptions, s.serve)
 }
 
 // serve handles the stream of one requesting entry until it ends.
--- a/io/kctrelay/session_test.go
+++ b/io/kctrelay/session_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kcttimer"
 )
 
@@ -36,7 +37,7 @@
 	if exchange("never there") == nil {
 		t.Error("an attempt through an entry that doesn't listen has an answer")
 	}
-	served, err := NewServer(address, echoHandler{}, kcttimer.New()).Start(ctx)
+	served, err := NewServer(address, echoHandler{}, kcttimer.New(), kctguard.New(kcttimer.New(), 256, 4096)).Start(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
