Keep no bodies of requests at both ends of a relay session

What an operator saw: entries exceeded their memory once queries with large bodies crossed availability zones.

Cause: both ends of a relay session kept up to 512 messages with their bodies, whether their requests were answered or not, and each attempt at an endpoint copied the body behind its head.

Change: the asking end forgets a message when its request ends. The relaying end drops messages within a second of their deadline and takes memory for them from its account; without any it declines, and the attempt goes straight. Bodies above 32 KiB are not relayed. Large bodies are written from the one copy that all attempts share.

--- a/core/kctrelaypath/path.go
+++ b/core/kctrelaypath/path.go
@@ -13,6 +13,10 @@
 // ejectionTime is how long a failed relaying entry gets no attempts; they go direct instead.
 const ejectionTime = 2 * time.Second
 
+// maxRelayedBody is the largest body in bytes of a request that is relayed. The relaying entry holds a request until its deadline, and a large body leaves no
+// memory for others.
+const maxRelayedBody = 32 << 10
+
 // Path sends each attempt direct or through a relaying entry; it is safe for concurrent use.
 type Path struct {
 	self   kctport.InstanceID
@@ -53,7 +57,7 @@
 // Send sends an attempt by the cheapest path. Repeats always go direct, so that an unresponsive entry can't delay both attempts.
 func (x *exchange) Send(endpoint *kctport.EndpointRecord, o kctport.ExchangeOptions, done func(kctport.Response, error)) {
 	p := x.path
-	if o.Gathered && !o.Repeat && !p.servedInOwnZone(endpoint) {
+	if o.Gathered && !o.Repeat && len(x.message.Body) <= maxRelayedBody && !p.servedInOwnZone(endpoint) {
 		if via, ok := p.choose(endpoint.Zone); ok {
 			go x.relay(via, endpoint, o, done)
 			return
--- a/io/kctegress/conn.go
+++ b/io/kctegress/conn.go
@@ -137,14 +137,18 @@
 	_ = c.SetDeadline(time.Unix(1, 0))
 }
 
-// writeBeside writes a large request while its answer is read, since an endpoint may answer before it has read the whole body.
-func (c *conn) writeBeside(request []byte) {
+// writeBeside writes a large request while its answer is read, since an endpoint may answer before it has read the whole body. The body is not copied, as all
+// attempts share it.
+func (c *conn) writeBeside(head, body []byte) {
 	written := make(chan error, 1)
 	c.mu.Lock()
 	c.written = written
 	c.mu.Unlock()
 	go func() {
-		_, err := c.Write(request)
+		_, err := c.Write(head)
+		if err == nil {
+			_, err = c.Write(body)
+		}
 		written <- err
 	}()
 }
--- a/io/kctegress/exchange.go
+++ b/io/kctegress/exchange.go
@@ -82,16 +82,15 @@
 // attemptHead is the usual size in bytes of the headers that depend on the attempt.
 const attemptHead = 128
 
-// encode returns the request with the caller's method, target, host and body, and the headers of the attempt.
-func (x *exchange) encode(endpoint *kctport.EndpointRecord, remaining time.Duration) []byte {
+// encodeHead returns the head of a request with the caller's method, target and host, and the headers of the attempt; there is room behind it for more bytes.
+func (x *exchange) encodeHead(endpoint *kctport.EndpointRecord, remaining time.Duration, room int) []byte {
 	head := x.sharedHead()
-	b := make([]byte, 0, len(head)+attemptHead+len(x.message.Body))
+	b := make([]byte, 0, len(head)+attemptHead+room)
 	b = append(b, head...)
 	for _, f := range x.client.dialect.Attempt(remaining, endpoint.ID) {
 		b = append(append(append(append(b, f.Name...), ": "...), f.Value...), "\r\n"...)
 	}
-	b = append(b, "\r\n"...)
-	return append(b, x.message.Body...)
+	return append(b, "\r\n"...)
 }
 
 // attempt is one request to one endpoint.
@@ -137,16 +136,22 @@
 	if a.options.BeforeSend != nil {
 		a.options.BeforeSend()
 	}
-	request := x.encode(a.endpoint, remaining)
+	body := x.message.Body
+	isLarge := len(body) > inlineBody
+	room := len(body)
+	if isLarge {
+		room = 0
+	}
+	head := x.encodeHead(a.endpoint, remaining, room)
 	if !c.begin(a) {
 		a.finish(kctport.Response{}, eris.Wrap(errNotSent, "the connection was closed"))
 		return
 	}
-	if len(x.message.Body) > inlineBody {
-		c.writeBeside(request)
+	if isLarge {
+		c.writeBeside(head, body)
 		return
 	}
-	if n, err := c.Write(request); err != nil {
+	if n, err := c.Write(append(head, body...)); err != nil {
 		a.finish(kctport.Response{}, classifyError(x.ctx, n > 0, err))
 		c.interrupt(a)
 	}
--- a/io/kctrelay/client.go
+++ b/io/kctrelay/client.go
@@ -88,7 +88,7 @@
 		o.BeforeSend()
 	}
 	a := &attempt{endpoint: endpoint, message: m, left: left, result: make(chan *kctproto.RelayResult, 1)}
-	err = s.stream.SendFunc(func() proto.Message { return s.register(a, c.timer.Now()) })
+	err = s.stream.SendFunc(func() proto.Message { return s.register(ctx, a, c.timer.Now()) })
 	number := a.number
 	defer s.unregister(number)
 	if errors.Is(err, proto.Error) {
@@ -217,23 +217,18 @@
 	number uint64
 }
 
-// pruneThreshold is the number of stored messages from which those with a passed deadline are dropped.
-const pruneThreshold = 512
-
 // register records an attempt and returns its call, which includes the message in the message's first attempt. Calls must be written in the order of
-// registration.
-func (s *session) register(a *attempt, now time.Time) *kctproto.RelayCall {
+// registration. The message is forgotten when the context ends, which is that of all of its attempts.
+func (s *session) register(ctx context.Context, a *attempt, now time.Time) *kctproto.RelayCall {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	call := &kctproto.RelayCall{}
 	message, sent := s.messages[a.message]
 	if !sent {
-		if len(s.messages) >= pruneThreshold {
-			maps.DeleteFunc(s.messages, func(m *kctport.Message, _ uint64) bool { return m.Deadline.Before(now) })
-		}
 		s.number++
 		message = s.number
 		s.messages[a.message] = message
+		context.AfterFunc(ctx, func() { s.forget(a.message) })
 		call.Message = encodeMessage(message, a.message, a.message.Deadline.Sub(now))
 	}
 	s.number++
@@ -245,6 +240,13 @@
 	return call
 }
 
+// forget drops a message that gets no further attempts.
+func (s *session) forget(m *kctport.Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.messages, m)
+}
+
 func (s *session) unregister(number uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/io/kctrelay/server.go
+++ b/io/kctrelay/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -22,6 +21,9 @@
 // maxAttempts bounds the concurrent attempts for one requesting entry; further ones are declined.
 const maxAttempts = 1024
 
+// pruneInterval is the interval at which messages with a passed deadline are dropped.
+const pruneInterval = time.Second
+
 // Server makes attempts for entries of other zones.
 type Server struct {
 	address netip.AddrPort
@@ -49,16 +51,24 @@
 
 // serve handles the stream of one requesting entry until it ends.
 func (s *Server) serve(ctx context.Context, st *kctmux.Stream) error {
-	p := &peer{server: s, stream: st, messages: map[uint64]*kctport.Message{}, cancels: map[uint64]context.CancelFunc{}}
+	p := &peer{server: s, stream: st, messages: map[uint64]message{}, cancels: map[uint64]context.CancelFunc{}}
 	return p.read(ctx)
 }
 
+// message is a caller's request whose attempts this entry makes, and the memory in bytes that was taken for it.
+type message struct {
+	*kctport.Message
+	size int
+}
+
 // peer is an entry that requests attempts.
 type peer struct {
 	server *Server
 	stream *kctmux.Stream
 	// messages belongs to the reading goroutine.
-	messages map[uint64]*kctport.Message
+	messages map[uint64]message
+	// pruneAt is when the messages with a passed deadline are dropped next.
+	pruneAt time.Time
 
 	mu sync.Mutex
 	// cancels holds the attempts in progress by number.
@@ -89,11 +99,28 @@
 	}
 }
 
+// storeMessage keeps a message until its deadline. Without memory for it, its attempts are declined, since the message is not known.
 func (p *peer) storeMessage(m *kctproto.RelayMessage, now time.Time) {
-	if len(p.messages) >= pruneThreshold {
-		maps.DeleteFunc(p.messages, func(_ uint64, m *kctport.Message) bool { return m.Deadline.Before(now) })
+	if !now.Before(p.pruneAt) {
+		p.prune(now)
+		p.pruneAt = now.Add(pruneInterval)
+	}
+	size := proto.Size(m)
+	if err := p.stream.Take(size); err != nil {
+		klog.V(1).InfoS("relayed message not kept", "request", m.GetId(), "bytes", size, "err", err)
+		return
+	}
+	p.messages[m.GetNumber()] = message{decodeMessage(m, now), size}
+}
+
+// prune drops the messages with a passed deadline.
+func (p *peer) prune(now time.Time) {
+	for number, m := range p.messages {
+		if m.Deadline.Before(now) {
+			delete(p.messages, number)
+			p.stream.Give(m.size)
+		}
 	}
-	p.messages[m.GetNumber()] = decodeMessage(m, now)
 }
 
 func (p *peer) cancel(number uint64) {
@@ -107,7 +134,7 @@
 // prepare looks up an attempt's message and returns a function that makes the attempt and sends its result.
 func (p *peer) prepare(ctx context.Context, send *kctproto.RelaySend, now time.Time) func() {
 	p.server.requests.Add(1)
-	number, message := send.GetNumber(), p.messages[send.GetMessage()]
+	number, known := send.GetNumber(), p.messages[send.GetMessage()].Message
 	deadline := now.Add(time.Duration(send.GetLeft()))
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	p.mu.Lock()
@@ -120,9 +147,9 @@
 		defer p.end(number, cancel)
 		var r kctport.Response
 		err := error(eris.Wrap(kctport.ErrDeclined, "the message is unknown or too many attempts are under way"))
-		if message != nil && !tooMany {
+		if known != nil && !tooMany {
 			r, err = p.server.handler.Relay(ctx, kctport.RelayAttempt{
-				Service: kctport.ServiceName(send.GetService()), Endpoint: kctport.InstanceID(send.GetEndpoint()), Message: message, Deadline: deadline,
+				Service: kctport.ServiceName(send.GetService()), Endpoint: kctport.InstanceID(send.GetEndpoint()), Message: known, Deadline: deadline,
 			})
 		}
 		err = p.stream.Send(encodeResult(number, r, err))
