Bound what clients of the own interface take

What an operator saw: as on the users' platform, bodies, heads and messages between entries that stop short of their end took the memory of an entry.

Cause: bodies grew by doubling, heads up to 1 MiB were decoded line by line, and a message's length made its receiver allocate it. A session with a refused request stayed open, with its receive buffer held by yamux for 10 s.

Change: the listeners for callers and for other entries are opened by a guard, with bounds from the new settings memory and files. Heads are at most 16 KiB. Bodies are read as on the users' platform; without memory a caller gets shed, not run. A session whose first request has no room is closed.

--- a/io/kctentry/cluster_test.go
+++ b/io/kctentry/cluster_test.go
@@ -13,6 +13,7 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kctsetting"
 	"kingcupturn/io/kctwire"
@@ -77,7 +78,7 @@
 	s := kctsetting.Settings{
 		ID: kctport.InstanceID(fmt.Sprintf("entry-%d", n)), Zone: c.zones[n%len(c.zones)],
 		Peer: freePort(c.t), Caller: freePort(c.t), Platform: c.address, Lifetime: c.lifetime,
-		MaxConnections: 30, MaxBody: 64 << 10, Ownership: c.ownership, Hedge: "adaptive", Picker: "load",
+		MaxConnections: 30, MaxBody: 64 << 10, Memory: kctguard.DefaultMemory, Files: kctguard.DefaultFiles, Ownership: c.ownership, Hedge: "adaptive", Picker: "load",
 	}
 	for _, r := range c.entries {
 		m := r.entry.self
--- a/io/kctentry/entry.go
+++ b/io/kctentry/entry.go
@@ -22,6 +22,7 @@
 	"kingcupturn/core/kctsuspect"
 	"kingcupturn/io/kctbackend"
 	"kingcupturn/io/kctcodec"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kcthttp"
 	"kingcupturn/io/kctmetric"
 	"kingcupturn/io/kctpeer"
@@ -48,6 +49,7 @@
 	engine   *kctquery.Engine
 	batch    *batcher
 	server   *kcthttp.Server
+	guard    *kctguard.Guard
 	strict   bool
 	killed   chan struct{}
 	created  time.Time
@@ -80,10 +82,11 @@
 		ID: settings.ID, Incarnation: kctport.Incarnation(rand.Uint64() | 1), Zone: settings.Zone,
 		Peer: settings.Peer, Caller: settings.Caller,
 	}
+	e.guard = kctguard.New(e.timer, settings.Memory, settings.Files, kctguard.WithObserver(e.metrics.ClientRefused))
 	e.checker = kctcheck.New(e.reportViolation, e.checkerOptions()...)
 	e.wireControl()
 	e.wireTraffic()
-	e.server = kcthttp.New(settings.Caller, e, e.timer,
+	e.server = kcthttp.New(settings.Caller, e, e.timer, e.guard,
 		kcthttp.WithBodyLimit(settings.MaxBody), kcthttp.WithMetrics(e.metrics.Handler()))
 	return e
 }
@@ -103,7 +106,7 @@
 		kctbackend.WithDropped(func(endpoint kctport.InstanceID, request string, err error) {
 			klog.InfoS("answer dropped", "endpoint", endpoint, "request", request, "err", err)
 		}))
-	e.mesh = kctpeer.New(e.self, e.timer, kctpeer.WithConfigCodec(kctcodec.EncodeConfig, kctcodec.DecodeConfig),
+	e.mesh = kctpeer.New(e.self, e.timer, kctpeer.WithGuard(e.guard), kctpeer.WithConfigCodec(kctcodec.EncodeConfig, kctcodec.DecodeConfig),
 		kctpeer.WithSessionFailed(func(id kctport.InstanceID) { e.control.SessionFailed(id) }))
 	e.gates = kctlimit.NewGates(e.timer, kctlimit.WithChecker(e.checker))
 	ports := kctcontrol.Ports{Timer: e.timer, Store: platform, Directory: platform, Backend: e.backend, Peers: e.mesh}
@@ -191,6 +194,7 @@
 		return err
 	}
 	peers := e.mesh.Serve(workCtx, &peerHandler{entry: e})
+	guard := e.guard.Run(workCtx)
 	control := e.control.Run(workCtx)
 	batches := e.batch.run(workCtx)
 	callers, err := e.server.Start(workCtx)
@@ -199,6 +203,7 @@
 		<-control
 		<-peers
 		<-batches
+		<-guard
 		return err
 	}
 	klog.InfoS("entry started", "id", e.self.ID, "zone", e.self.Zone, "caller", e.self.Caller, "peer", e.self.Peer)
@@ -213,7 +218,7 @@
 	stop()
 	limit, release := context.WithTimeout(context.WithoutCancel(ctx), e.partsTimeout)
 	defer release()
-	return errors.Join(err, kctstop.Await(limit, kctstop.On("control", control), kctstop.On("batches", batches), kctstop.On("peers", peers)))
+	return errors.Join(err, kctstop.Await(limit, kctstop.On("control", control), kctstop.On("batches", batches), kctstop.On("peers", peers), kctstop.On("guard", guard)))
 }
 
 // Kill ends the entry at once, as a crash does, and closes the connections of callers and peers. It may be called once.
--- a/io/kctentry/stop_test.go
+++ b/io/kctentry/stop_test.go
@@ -11,13 +11,14 @@
 	kctport "kingcupturn"
 	"kingcupturn/core/kctcontrol"
 	"kingcupturn/io/kctcodec"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctsetting"
 	kctadapter "kingcupturn/platform"
 )
 
 // TestStopWithoutControl guards against an entry that never ends when its control goroutine hangs.
 func TestStopWithoutControl(t *testing.T) {
-	e := New(kctsetting.Settings{ID: "e", Zone: "a", Peer: freePort(t), Caller: freePort(t), Platform: freePort(t), Lifetime: time.Second, MaxConnections: 1, MaxBody: 1 << 10})
+	e := New(kctsetting.Settings{ID: "e", Zone: "a", Peer: freePort(t), Caller: freePort(t), Platform: freePort(t), Lifetime: time.Second, MaxConnections: 1, MaxBody: 1 << 10, Memory: kctguard.DefaultMemory, Files: kctguard.DefaultFiles})
 	e.partsTimeout = 200 * time.Millisecond
 	hung, release := make(chan struct{}), make(chan struct{})
 	defer close(release)
--- a/io/kcthttp/body.go
+++ b/io/kcthttp/body.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 )
 
 // decode reads the request body and decodes it as one JSON value; unknown fields are refused, so that a misspelt field
@@ -36,16 +37,25 @@
 	return nil
 }
 
+// readBody reads the request body; the connection is closed after one that has no room or does not arrive.
 func readBody(c echo.Context) ([]byte, error) {
-	body, err := io.ReadAll(c.Request().Body)
+	r := c.Request()
+	conn := kctguard.FromContext(r.Context())
+	body, err := conn.ReadBody(r.Body, r.ContentLength)
+	if err == nil {
+		err = conn.Run()
+	}
 	var tooLarge *echo.HTTPError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLarge):
 		return nil, tooLarge
+	case errors.Is(err, kctport.ErrNotRun):
+		c.Response().Header().Set("Connection", "close")
+		return nil, err
 	}
-	if err != nil {
-		return nil, invalid("body: %v", err)
-	}
-	return body, nil
+	return nil, invalid("body: %v", err)
 }
 
 func invalid(format string, args ...any) error {
--- a/io/kcthttp/caller_test.go
+++ b/io/kcthttp/caller_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
-	"net/netip"
 	"strings"
 	"testing"
 
+	"github.com/labstack/echo/v4"
+
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
+	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kcttimer"
 )
 
@@ -47,15 +49,31 @@
 		{"/v1/execute", execute, nil, kctport.ErrUnknown, http.StatusBadGateway, "unknown", "unknown"},
 		{"/v1/execute", execute, known, kctport.ErrUnknown, http.StatusBadGateway, "unknown", "unknown"},
 	} {
-		server := New(netip.AddrPort{}, fakeTier{view: &kctport.View{Services: r.services}, err: r.err}, kcttimer.New())
-		reply := httptest.NewRecorder()
-		server.http.Handler.ServeHTTP(reply, httptest.NewRequest(http.MethodPost, r.path, strings.NewReader(r.body)))
+		ports, err := kctloopback.FreePorts(1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		guard := kctguard.New(kcttimer.New(), 256, 4096)
+		server := New(ports[0], fakeTier{view: &kctport.View{Services: r.services}, err: r.err}, kcttimer.New(), guard)
+		done, err := server.Start(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		reply, err := http.Post("http://"+ports[0].String()+r.path, echo.MIMEApplicationJSON, strings.NewReader(r.body))
+		if err != nil {
+			t.Fatal(err)
+		}
 		var got errorReply
-		if err := json.Unmarshal(reply.Body.Bytes(), &got); err != nil {
+		if err := json.NewDecoder(reply.Body).Decode(&got); err != nil {
 			t.Fatal(err)
 		}
-		if reply.Code != r.status || got.Code != r.code || got.Ran != r.ran {
-			t.Errorf("%s with %d known services and error %v: got %d %+v, want %d %s %s", r.path, len(r.services), r.err, reply.Code, got, r.status, r.code, r.ran)
+		reply.Body.Close()
+		server.Close()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		if reply.StatusCode != r.status || got.Code != r.code || got.Ran != r.ran {
+			t.Errorf("%s with %d known services and error %v: got %d %+v, want %d %s %s", r.path, len(r.services), r.err, reply.StatusCode, got, r.status, r.code, r.ran)
 		}
 	}
 }
--- a/io/kcthttp/server.go
+++ b/io/kcthttp/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
@@ -14,13 +13,18 @@
 
 	kctport "kingcupturn"
 	"kingcupturn/io/kctcodec"
+	"kingcupturn/io/kctguard"
 )
 
 const (
+	// headBytes is the largest head of a request in bytes.
+	headBytes = 16 << 10
 	// headerTimeout bounds the time in which a caller sends its request headers.
 	headerTimeout = 5 * time.Second
 	// idleTimeout is the time after which an idle connection is closed.
-	idleTimeout = 90 * time.Second
+	idleTimeout = 72 * time.Second
+	// listenerName names the listener in logs and metrics.
+	listenerName = "callers"
 )
 
 // Server is the HTTP front end of an entry.
@@ -30,7 +34,7 @@
 	address            netip.AddrPort
 	metrics            http.Handler
 	bodyLimit          int
-	deadline           time.Duration
+	guard              *kctguard.Guard
 	keepAlivesDisabled atomic.Bool
 	http               *http.Server
 }
@@ -48,21 +52,22 @@
 	return func(s *Server) { s.metrics = h }
 }
 
-// New returns a server that Start makes listen on the address.
-func New(address netip.AddrPort, tier kctport.Tier, timer kctport.Timer, opts ...Option) *Server {
-	s := &Server{tier: tier, timer: timer, address: address, bodyLimit: 64 << 10, metrics: http.NotFoundHandler()}
+// New returns a server that Start makes listen on the address; its connections take from the guard's account.
+func New(address netip.AddrPort, tier kctport.Tier, timer kctport.Timer, guard *kctguard.Guard, opts ...Option) *Server {
+	s := &Server{tier: tier, timer: timer, guard: guard, address: address, bodyLimit: 64 << 10, metrics: http.NotFoundHandler()}
 	for _, o := range opts {
 		o(s)
 	}
-	s.http = &http.Server{Handler: s.routes(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s.http = &http.Server{Handler: s.routes()}
+	kctguard.Serve(s.http)
 	return s
 }
 
 // Start listens and serves until Shutdown or Close; the channel then receives the error of serving, nil after either of them, and is closed.
 func (s *Server) Start(ctx context.Context) (<-chan error, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", s.address.String())
+	listener, err := s.guard.ListenHTTP(ctx, listenerName, s.address, s.limits)
 	if err != nil {
-		return nil, eris.Wrapf(kctport.ErrUnavailable, "listen for callers on %s: %v", s.address, err)
+		return nil, err
 	}
 	done := make(chan error, 1)
 	go func() {
@@ -76,6 +81,11 @@
 	return done, nil
 }
 
+// limits returns the limits of a request, which settings don't change while the process runs.
+func (s *Server) limits() kctport.CallerLimits {
+	return kctport.CallerLimits{HeaderBytes: headBytes, BodyBytes: s.bodyLimit, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
 // DisableKeepAlives makes every further reply close its connection, so that callers connect to other entries before Shutdown.
 func (s *Server) DisableKeepAlives() {
 	s.keepAlivesDisabled.Store(true)
--- a/io/kctload/daemon.go
+++ b/io/kctload/daemon.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"kingcupturn/io/kctentry"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctsetting"
 	"kingcupturn/io/kcttimer"
 
@@ -38,7 +39,7 @@
 func StartEntry(ctx context.Context, spec EntrySpec) (Daemon, error) {
 	settings := kctsetting.Settings{
 		ID: spec.ID, Zone: spec.Zone, Peer: spec.Peer, Caller: spec.Caller, Platform: spec.Platform,
-		Lifetime: addressLifetime, MaxConnections: connectionLimit, MaxBody: bodyLimit,
+		Lifetime: addressLifetime, MaxConnections: connectionLimit, MaxBody: bodyLimit, Memory: kctguard.DefaultMemory, Files: kctguard.DefaultFiles,
 		Ownership: "owner", Hedge: "adaptive", Picker: "load",
 	}
 	switch spec.Variant {
--- a/io/kctpeer/frame.go
+++ b/io/kctpeer/frame.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/proto"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 )
 
 // readers holds buffered readers for reuse by decode.
@@ -27,7 +28,23 @@
 	return proto.MarshalOptions{UseCachedSize: true}.MarshalAppend(b, m)
 }
 
-// decode reads one message and returns its size in bytes with the length prefix.
+// decodeRequest reads one message of an accepted session, for which its connection takes memory, and returns its size in bytes with the length prefix.
+func decodeRequest(r io.Reader, client *kctguard.Conn, m proto.Message) (int, error) {
+	b := readers.Get().(*bufio.Reader)
+	b.Reset(r)
+	defer func() {
+		b.Reset(nil)
+		readers.Put(b)
+	}()
+	data, taken, err := client.ReadMessage(b, MaxMessage)
+	defer client.Give(taken)
+	if err != nil {
+		return 0, err
+	}
+	return len(data) + protowire.SizeVarint(uint64(len(data))), proto.Unmarshal(data, m)
+}
+
+// decode reads one reply and returns its size in bytes with the length prefix.
 func decode(r io.Reader, m proto.Message) (int, error) {
 	b := readers.Get().(*bufio.Reader)
 	b.Reset(r)
--- a/io/kctpeer/handle.go
+++ b/io/kctpeer/handle.go
@@ -14,7 +14,7 @@
 )
 
 // serveStream reads one request, runs it and writes the reply.
-func (m *Mesh) serveStream(ctx context.Context, stream *yamux.Stream, handler kctport.PeerHandler) {
+func (m *Mesh) serveStream(ctx context.Context, a *accepted, stream *yamux.Stream, handler kctport.PeerHandler) {
 	defer m.wait.Done()
 	defer m.active.Add(-1)
 	defer stream.Close()
@@ -22,8 +22,15 @@
 		return
 	}
 	req := &kctproto.Request{}
-	in, err := decode(stream, req)
+	in, err := decodeRequest(stream, a.client, req)
+	if err == nil {
+		err = a.client.Admit()
+	}
 	if err != nil {
+		if errors.Is(err, kctport.ErrShed) {
+			// Closing only the stream would keep its receive buffer for the time in which the other end may close it too.
+			a.close()
+		}
 		// The request did not run. The other entry gets only a closed stream, also after an invalid request.
 		klog.V(2).InfoS("cannot read peer request", "err", err)
 		return
--- a/io/kctpeer/mesh.go
+++ b/io/kctpeer/mesh.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 )
 
 // Mesh holds this entry's sessions with other entries and implements kctport.Peers.
@@ -20,6 +21,7 @@
 	codec         codec
 	sessionFailed func(kctport.InstanceID)
 	grace         time.Duration
+	guard         *kctguard.Guard
 
 	listener net.Listener
 	// base ends when the mesh closes; dials use it instead of a request's context, because several requests wait for one dial.
@@ -70,13 +72,15 @@
 	for _, o := range opts {
 		o(m)
 	}
+	if m.guard == nil {
+		m.guard = kctguard.New(timer, kctguard.DefaultMemory, kctguard.DefaultFiles)
+	}
 	return m
 }
 
 // Listen binds this entry's peer address; with port 0, Address returns the port chosen.
 func (m *Mesh) Listen(ctx context.Context) error {
-	var c net.ListenConfig
-	l, err := c.Listen(ctx, "tcp", m.self.Peer.String())
+	l, err := m.guard.ListenPeers(ctx, "peers", m.self.Peer)
 	if err != nil {
 		return eris.Wrapf(err, "listen on peer address %s", m.self.Peer)
 	}
--- a/io/kctpeer/option.go
+++ b/io/kctpeer/option.go
@@ -4,6 +4,7 @@
 	"time"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 )
 
 const (
@@ -47,6 +48,11 @@
 	return func(m *Mesh) { m.sessionFailed = sessionFailed }
 }
 
+// WithGuard makes the connections of other entries take from a guard's account until their first request.
+func WithGuard(guard *kctguard.Guard) Option {
+	return func(m *Mesh) { m.guard = guard }
+}
+
 // WithGrace sets how long shutdown waits for requests in progress, 10 s by default.
 func WithGrace(d time.Duration) Option {
 	return func(m *Mesh) { m.grace = d }
--- a/io/kctpeer/serve.go
+++ b/io/kctpeer/serve.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 )
 
 // acceptRetryDelay is the wait after a failed accept, since causes such as a lack of file descriptors are temporary.
@@ -22,6 +23,8 @@
 // accepted is a session that another entry dialed.
 type accepted struct {
 	mux *yamux.Session
+	// client is the session's connection, which takes from the guard's account until its first request.
+	client *kctguard.Conn
 }
 
 func (a *accepted) close() {
@@ -70,12 +73,14 @@
 				return nil
 			}
 		}
+		// The guard's listener returns no other type.
+		client, _ := c.(*kctguard.Conn)
 		mux, err := yamux.Server(&conn{Conn: c, idleTimeout: acceptedIdleLimit}, muxConfig())
 		if err != nil {
 			c.Close()
 			return eris.Wrap(err, "start peer session")
 		}
-		if !m.startSession(ctx, &accepted{mux: mux}, handler) {
+		if !m.startSession(ctx, &accepted{mux: mux, client: client}, handler) {
 			return nil
 		}
 	}
@@ -151,6 +156,6 @@
 		m.active.Add(1)
 		m.started.Add(1)
 		m.wait.Add(1)
-		go m.serveStream(ctx, stream, handler)
+		go m.serveStream(ctx, a, stream, handler)
 	}
 }
--- a/io/kctsetting/settings.go
+++ b/io/kctsetting/settings.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctguard"
 )
 
 // Settings contains the validated settings of one entry.
@@ -27,6 +28,9 @@
 	MaxConnections int
 	// MaxBody is the largest allowed request body in bytes.
 	MaxBody int
+	// Memory is the memory limit of the process in MiB, Files the number of file descriptors that it may have open.
+	Memory int
+	Files  int
 	// Ownership, Hedge and Picker select the policies for sending, hedging and load balancing.
 	Ownership string
 	Hedge     string
@@ -47,7 +51,7 @@
 	id, zone, peer, caller, platform string
 	seeds                            stringList
 	lifetime                         string
-	connections, body                int
+	connections, body, memory, files int
 	ownership, hedge, picker         string
 }
 
@@ -76,6 +80,8 @@
 	set.StringVar(&r.lifetime, "lifetime", "10s", "how long callers may keep entry addresses, 1s to 10m")
 	set.IntVar(&r.connections, "connections", 30, "connection limit of one endpoint, 1 to 10000")
 	set.IntVar(&r.body, "body", 64<<10, "largest request body in bytes, 1024 to 4194304")
+	set.IntVar(&r.memory, "memory", kctguard.DefaultMemory, "memory limit of the process in MiB, 32 to 65536")
+	set.IntVar(&r.files, "files", kctguard.DefaultFiles, "file descriptors of the process, 220 to 1048576; clients get up to half of those for sockets")
 	set.StringVar(&r.ownership, "ownership", "owner", "who sends to an endpoint: owner or direct")
 	set.StringVar(&r.hedge, "hedge", "adaptive", "second attempts: adaptive, fixed or none")
 	set.StringVar(&r.picker, "picker", "load", "choice of endpoint: load or robin")
@@ -141,7 +147,7 @@
 	s := Settings{
 		ID: kctport.InstanceID(r.id), Zone: kctport.Zone(r.zone),
 		Peer: p.address("peer", r.peer), Caller: p.address("caller", r.caller), Platform: p.address("platform", r.platform),
-		MaxConnections: r.connections, MaxBody: r.body,
+		MaxConnections: r.connections, MaxBody: r.body, Memory: r.memory, Files: r.files,
 		Ownership: r.ownership, Hedge: r.hedge, Picker: r.picker,
 	}
 	p.name("id", r.id)
@@ -153,6 +159,8 @@
 	s.Lifetime = p.duration("lifetime", r.lifetime, minLifetime, maxLifetime)
 	p.between("connections", r.connections, 1, maxConnections)
 	p.between("body", r.body, minBody, maxBody)
+	p.between("memory", r.memory, minMemory, maxMemory)
+	p.between("files", r.files, minFiles, maxFiles)
 	p.choice("ownership", r.ownership, "owner", "direct")
 	p.choice("hedge", r.hedge, "adaptive", "fixed", "none")
 	p.choice("picker", r.picker, "load", "robin")
--- a/io/kctslope/fleet.go
+++ b/io/kctslope/fleet.go
@@ -13,6 +13,7 @@
 	"kingcupturn/io/kctcodec"
 	"kingcupturn/io/kctentry"
 	"kingcupturn/io/kctfake"
+	"kingcupturn/io/kctguard"
 	"kingcupturn/io/kctloopback"
 	"kingcupturn/io/kctsetting"
 	"kingcupturn/io/kctwire"
@@ -107,7 +108,7 @@
 	s := kctsetting.Settings{
 		ID: kctport.InstanceID(fmt.Sprintf("entry-%03d", n)), Zone: zoneName(n % f.size.zones),
 		Peer: ports[0], Caller: ports[1], Platform: f.store, Lifetime: lifetime,
-		MaxConnections: connections, MaxBody: bodyLimit, Ownership: "owner", Hedge: "adaptive", Picker: "load",
+		MaxConnections: connections, MaxBody: bodyLimit, Memory: kctguard.DefaultMemory, Files: kctguard.DefaultFiles, Ownership: "owner", Hedge: "adaptive", Picker: "load",
 	}
 	d := &daemon{entry: kctentry.New(s), settings: s, done: make(chan error, 1)}
 	go func() { d.done <- d.entry.Run(ctx) }()
