Count a route's timeout from the end of a request's body

What a caller saw: a body within the limits that took longer than its route's timeout was answered 503 as soon as it was complete.

Cause: the time at which the request counts as received was that of its head, though Message.Received means the whole request.

Change: a request with a body is received when the body is.

--- a/io/kctingress/server.go
+++ b/io/kctingress/server.go
@@ -114,9 +114,13 @@
 		s.handleBodyError(w, r, id, err)
 		return
 	}
+	received := begun
+	if len(body) > 0 {
+		received = s.timer.Now()
+	}
 	reply := s.forwarder.Forward(r.Context(), &kctport.Message{
 		ID: id, Method: r.Method, Target: r.RequestURI, Path: r.URL.EscapedPath(), Host: r.Host,
-		Header: header, Body: body, Received: begun, Deadline: deadline,
+		Header: header, Body: body, Received: received, Deadline: deadline,
 	})
 	if r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
