Drop answers whose status line is none

What a caller saw: the status 600 or 999 of a server in trouble, as it came, and a success from an answer that began with HTTP/2.0 or with two blanks before its status, also within gathered answers. Status 000 ended as 502 or 504, since it counted as an interim answer. A write to the store that was answered with status 000 was not reported as one that may have taken effect, and the store's answers under the other status lines were believed.

Cause: net/http reads any three digits as a status, any version, and more than one blank.

Change: one check of the status line, for HTTP/1.0 or 1.1, one blank and a status of 100 to 599, in the readers of answers of endpoints on both interfaces, their status calls and the store's client. A relayed status outside of these numbers is refused too.

--- a/io/kctanswer/reader.go
+++ b/io/kctanswer/reader.go
@@ -113,6 +113,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckStatusLine(r.head[begin:]); err != nil {
+		return nil, err
+	}
 	a := &Answer{
 		Status: raw.StatusCode, Header: raw.Header, Close: raw.Close, First: r.answers == 0, start: r.head, head: r.head[begin:],
 		framed: raw.ContentLength >= 0 || len(raw.TransferEncoding) > 0 || raw.Body == http.NoBody, chunked: len(raw.TransferEncoding) > 0,
--- a/io/kctanswer/statusline.go
+++ b/io/kctanswer/statusline.go
@@ -1,6 +1,19 @@
 package kctanswer
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+
+	kctport "kingcupturn"
+)
+
+// The statuses that an answer may have.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
 
 // nextStatusLine returns the index of the first status line in b from an index on, -1 without one.
 func nextStatusLine(b []byte, from int) int {
@@ -40,3 +53,19 @@
 func IsTimeoutNotice(b []byte) bool {
 	return bytes.HasPrefix(b, protocol) && isStatusLine(b) && bytes.HasPrefix(bytes.TrimLeft(b[len("HTTP/1.1"):], " "), []byte("408"))
 }
+
+// CheckStatusLine returns an error that wraps ErrMismatch unless b begins with the status line of an answer over HTTP/1.0 or 1.1. net/http also reads other
+// versions, statuses that are none, and more than one space before the status.
+func CheckStatusLine(b []byte) error {
+	const version, statusAt, statusEnd = len("HTTP/1."), len("HTTP/1.1 "), len("HTTP/1.1 200")
+	if len(b) > statusEnd && bytes.HasPrefix(b, []byte("HTTP/1.")) && (b[version] == '0' || b[version] == '1') && b[statusAt-1] == ' ' &&
+		isDigits(b[statusAt:statusEnd]) && bytes.IndexByte([]byte(" \r\n"), b[statusEnd]) >= 0 {
+		if status, err := strconv.Atoi(string(b[statusAt:statusEnd])); err == nil && ValidStatus(status) {
+			return nil
+		}
+	}
+	return eris.Wrapf(kctport.ErrMismatch, "no status line of an answer: %.*q", maxExcerpt, b)
+}
+
+// ValidStatus reports whether a number is the status of an answer.
+func ValidStatus(status int) bool { return status >= minStatus && status <= maxStatus }
--- a/io/kctbackend/conn.go
+++ b/io/kctbackend/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"kingcupturn/io/kctanswer"
 )
 
 // errWritesStopped is the error of a write after stopWrites.
@@ -48,6 +50,13 @@
 	return fmt.Sprintf("reply on connection %s to %s begins %q", c.LocalAddr(), c.RemoteAddr(), c.first)
 }
 
+// checkStatusLine returns an error unless the bytes received since the last request began start with the status line of an answer.
+func (c *conn) checkStatusLine() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return kctanswer.CheckStatusLine(c.first)
+}
+
 // Write waits for the check of a reply and counts the bytes before it sends them, so that the count is never too low.
 func (c *conn) Write(b []byte) (int, error) {
 	for {
--- a/io/kctbackend/exchange.go
+++ b/io/kctbackend/exchange.go
@@ -76,6 +76,10 @@
 		return x.dropped(unwrittenError(eris.New("a reply came before the request was written")))
 	}
 	defer x.conn.endRequest()
+	if err := x.conn.checkStatusLine(); err != nil {
+		x.conn.discard()
+		return x.dropped(eris.Wrap(errors.Join(kctport.ErrUnknown, kctport.ErrMismatch), err.Error()))
+	}
 	data, err := x.pool.bodies.Read(res.Body, maxReplyBytes)
 	if err != nil {
 		return x.readError(ctx, err)
--- a/io/kctegress/conn.go
+++ b/io/kctegress/conn.go
@@ -356,7 +356,7 @@
 func (c *conn) readError(a *attempt, err error) error {
 	switch {
 	case errors.Is(err, kctport.ErrMismatch):
-		return c.dropped(err, "too large")
+		return c.dropped(err, "not an answer that can be passed on")
 	case isMalformed(err):
 		if c.reader.BeginsAnew() {
 			c.client.pools.recordDropped(c)
--- a/io/kctrelay/wire.go
+++ b/io/kctrelay/wire.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	kctport "kingcupturn"
+	"kingcupturn/io/kctanswer"
 	"kingcupturn/io/kctmux"
 	"kingcupturn/io/kctproto"
 )
@@ -101,6 +102,9 @@
 	default:
 		return kctport.Response{}, eris.Wrapf(kctport.ErrReset, "relayed: %s", m.GetDetail())
 	}
+	if !kctanswer.ValidStatus(int(m.GetStatus())) {
+		return kctport.Response{}, eris.Wrapf(kctport.ErrMismatch, "relayed: status %d", m.GetStatus())
+	}
 	r := kctport.Response{
 		Status: int(m.GetStatus()), Signature: m.GetSignature(), Body: m.GetBody(), NotRun: m.GetRefused(), Misdirected: m.GetMisdirected(),
 		ColdRemaining: time.Duration(m.GetCold()), RateLimit: m.Limit,
