--- a/cmd/kingcupturn/crowd_test.go
+++ b/cmd/kingcupturn/crowd_test.go
@@ -115,6 +115,12 @@
 	testCrowd(t, callerOf, kctcrowd.WholeBodies(crowdQuery, crowdBody))
 }
 
+// TestOwnCrowdOfQueries guards against many queries with large texts, which are decoded, and copied for each part.
+func TestOwnCrowdOfQueries(t *testing.T) {
+	const query = `{"services":["match-0"],"route":"match","deadline":"2s","text":"`
+	testCrowd(t, callerOf, kctcrowd.Bodies(crowdQuery, query+strings.Repeat("x", crowdBody-len(query)-len(`"}`))+`"}`))
+}
+
 // TestOwnCrowdOfBodiesInPieces guards against many bodies that stop just short of their end and whose connections stay open.
 func TestOwnCrowdOfBodiesInPieces(t *testing.T) {
 	testCrowd(t, callerOf, kctcrowd.Pieces(crowdQuery, crowdBody))
--- a/io/kctcrowd/form.go
+++ b/io/kctcrowd/form.go
@@ -32,9 +32,14 @@
 
 // WholeBodies sends requests with bodies of a size in bytes one after the other, without waiting for answers.
 func WholeBodies(request Request, size int) Form {
+	return Bodies(request, strings.Repeat("x", size))
+}
+
+// Bodies sends requests with the same body one after the other, without waiting for answers.
+func Bodies(request Request, body string) Form {
 	return func(c net.Conn, n int, _ bool) error {
 		for {
-			if _, err := io.WriteString(c, withLength(request, n, size)+strings.Repeat("x", size)); err != nil {
+			if _, err := io.WriteString(c, withLength(request, n, len(body))+body); err != nil {
 				return err
 			}
 		}
--- a/io/kctguard/conn.go
+++ b/io/kctguard/conn.go
@@ -62,8 +62,8 @@
 	// reason is set before gaveWay.
 	reason  kctquota.Reason
 	gaveWay atomic.Bool
-	// inHead is set while a head is read, idle before its first byte.
-	inHead, busy atomic.Bool
+	// busy is set from the first byte of a request or of a peer on, inHead while a head is read.
+	busy, inHead atomic.Bool
 	// admitted is set once the first message of another entry has been read.
 	admitted atomic.Bool
 	// received, lines and taken belong to the goroutine that reads: bytes and lines of the head, or bytes before the first message, and the memory taken for them.
