Tell no line of idle connections, and what clients of the own interface hold

Connections that clients leave idle were counted into the log line on refused clients, which then came in calm too; they stay in the counter. The gauges of what clients hold are there on both interfaces.

--- a/core/kctquota/account.go
+++ b/core/kctquota/account.go
@@ -54,9 +54,6 @@
 	ReasonSize Reason = "size"
 )
 
-// Reasons holds all reasons.
-var Reasons = []Reason{ReasonConnections, ReasonMemory, ReasonIdle, ReasonHead, ReasonStall, ReasonDeadline, ReasonSize}
-
 // Group names the clients at one address of one listener. When something is short, the group that holds most of it gives way first.
 type Group struct {
 	Listener string
--- a/io/kctentry/entry.go
+++ b/io/kctentry/entry.go
@@ -83,6 +83,7 @@
 		Peer: settings.Peer, Caller: settings.Caller,
 	}
 	e.guard = kctguard.New(e.timer, settings.Memory, settings.Files, kctguard.WithObserver(e.metrics.ClientRefused))
+	e.metrics.RegisterClients(e.guard.Usage)
 	e.checker = kctcheck.New(e.reportViolation, e.checkerOptions()...)
 	e.wireControl()
 	e.wireTraffic()
--- a/io/kctguard/conn.go
+++ b/io/kctguard/conn.go
@@ -155,7 +155,7 @@
 func (c *Conn) acceptHead(now time.Time, b []byte) bool {
 	c.received += len(b)
 	if c.received > c.listener.limits().HeaderBytes+headBuffer {
-		c.listener.guard.refused(c.listener.name, kctquota.ReasonSize)
+		c.listener.guard.Refused(c.listener.name, kctquota.ReasonSize)
 		c.refuse(headTooLong)
 		return false
 	}
--- a/io/kctguard/guard.go
+++ b/io/kctguard/guard.go
@@ -76,7 +76,7 @@
 	for _, o := range opts {
 		o(g)
 	}
-	g.account = kctquota.New(bounds(memory, files), kctquota.WithObserver(g.refused))
+	g.account = kctquota.New(bounds(memory, files), kctquota.WithObserver(g.Refused))
 	return g
 }
 
@@ -91,12 +91,13 @@
 // Usage returns what clients hold.
 func (g *Guard) Usage() kctquota.Usage { return g.account.Usage() }
 
-// Refused counts a client that its server refused.
-func (g *Guard) Refused(listener string, reason kctquota.Reason) { g.refused(listener, reason) }
-
-// refused counts a client that was refused or gave way.
-func (g *Guard) refused(listener string, reason kctquota.Reason) {
+// Refused counts a client that was refused or gave way.
+func (g *Guard) Refused(listener string, reason kctquota.Reason) {
 	g.observe(listener, reason)
+	if reason == kctquota.ReasonIdle {
+		// Clients leave connections idle as a matter of course.
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.refusals[refusal{listener, reason}]++
@@ -108,7 +109,7 @@
 	go func() {
 		defer close(done)
 		ticks := g.timer.Subscribe(ctx, sweepInterval)
-		last, logged := g.timer.Now(), time.Time{}
+		last, logged, skipped := g.timer.Now(), time.Time{}, false
 		for {
 			select {
 			case <-ctx.Done():
@@ -117,7 +118,7 @@
 			}
 			now := g.timer.Now()
 			// After a pause of the process, what has arrived meanwhile is read first.
-			if now.Sub(last) < 2*sweepInterval {
+			if skipped = !skipped && now.Sub(last) >= 2*sweepInterval; !skipped {
 				g.sweep(now)
 			}
 			if last = now; now.Sub(logged) >= logInterval && g.logRefusals() {
--- a/io/kctguard/guard_test.go
+++ b/io/kctguard/guard_test.go
@@ -53,7 +53,7 @@
 		defer f.mu.Unlock()
 		f.refused[reason]++
 	}))
-	f.guard.account = kctquota.New(b, kctquota.WithObserver(f.guard.refused))
+	f.guard.account = kctquota.New(b, kctquota.WithObserver(f.guard.Refused))
 	ctx, stop := context.WithCancel(context.Background())
 	l, err := f.guard.ListenHTTP(ctx, "test", f.address, func() kctport.CallerLimits { return *f.limits.Load() })
 	if err != nil {
--- a/io/kctmetric/metrics.go
+++ b/io/kctmetric/metrics.go
@@ -5,25 +5,12 @@
 	"time"
 
 	kctport "kingcupturn"
-	"kingcupturn/core/kctquota"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
-const (
-	refusedClients     = "clients_refused_total"
-	refusedClientsHelp = "Clients that were refused and connections that were closed for others or for a timeout, by listener and reason."
-	// maxScrapes bounds the scrapes that are answered at the same time, since each takes memory for all metrics; further ones get 503.
-	maxScrapes = 4
-)
-
-// ClientRefused counts a client that was refused, or whose connection was closed, at a listener.
-func (m *Metrics) ClientRefused(listener string, reason kctquota.Reason) {
-	m.clients.WithLabelValues(listener, string(reason)).Inc()
-}
-
 // Namespace is the prefix of every metric name of an entry.
 const Namespace = "kingcupturn"
 
--- a/io/kctmetric/serving.go
+++ b/io/kctmetric/serving.go
@@ -70,14 +70,7 @@
 }
 
 // RegisterClients registers gauges of what clients hold.
-func (m *Serving) RegisterClients(usage func() kctquota.Usage) {
-	gauge := func(name, help string, read func(kctquota.Usage) int) {
-		opts := prometheus.GaugeOpts{Namespace: Namespace, Name: name, Help: help}
-		m.registry.MustRegister(prometheus.NewGaugeFunc(opts, func() float64 { return float64(read(usage())) }))
-	}
-	gauge("client_connections", "Open connections of clients.", func(u kctquota.Usage) int { return u.Connections })
-	gauge("client_bytes", "Memory in bytes that requests and answers of clients hold beyond that of their connections.", func(u kctquota.Usage) int { return u.Bytes })
-}
+func (m *Serving) RegisterClients(usage func() kctquota.Usage) { registerClients(m.registry, usage) }
 
 // Violation counts a violated invariant; it has the signature of the report function of core/kctcheck.
 func (m *Serving) Violation(invariant, _ string) {
