--- a/cmd/kingcupturn/crowd_test.go
+++ b/cmd/kingcupturn/crowd_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
@@ -59,21 +56,7 @@
 // descriptors, or that answers no ordinary request while the crowd stands or after it.
 func testCrowd(t *testing.T, address func(*entry) netip.AddrPort, form kctcrowd.Form, opts ...kctcrowd.Option) {
 	t.Helper()
-	platform := freePort(t)
-	store := start(t, "kctstandin", "platform", "--listen", platform.String())
-	if line := <-store.lines; !strings.HasPrefix(line, "platform") {
-		t.Fatalf("platform printed %q", line)
-	}
-	w, names := workload(1)
-	raw, err := json.Marshal(w)
-	if err != nil {
-		t.Fatal(err)
-	}
-	file := filepath.Join(t.TempDir(), "workload.json")
-	if err := os.WriteFile(file, raw, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	start(t, "kctstandin", "endpoints", "--platform", platform.String(), "--workload", file)
+	platform, names := startStandIns(t, 1)
 	e := &entry{id: "entry-0", caller: freePort(t), peer: freePort(t)}
 	e.process = start(t, "kingcupturn", "entry", "--id", e.id, "--zone", "a", "--peer", e.peer.String(), "--caller", e.caller.String(),
 		"--platform", platform.String(), "--lifetime", "2s", "--body", strconv.Itoa(crowdBody))
--- a/cmd/kingcupturn/process_test.go
+++ b/cmd/kingcupturn/process_test.go
@@ -192,15 +192,15 @@
 	return w, names
 }
 
-// Guards against commands that don't work together as separate processes: entries that don't find each other through
-// the platform, or don't give a complete answer over every service.
-func TestProcesses(t *testing.T) {
-	platform := freePort(t)
+// startStandIns starts a platform, and endpoints of a number of services that register there; it returns the platform's address and the services' names.
+func startStandIns(t *testing.T, services int) (platform netip.AddrPort, names []string) {
+	t.Helper()
+	platform = freePort(t)
 	store := start(t, "kctstandin", "platform", "--listen", platform.String())
 	if line := <-store.lines; !strings.HasPrefix(line, "platform") {
 		t.Fatalf("platform printed %q", line)
 	}
-	w, names := workload(25)
+	w, names := workload(services)
 	raw, err := json.Marshal(w)
 	if err != nil {
 		t.Fatal(err)
@@ -210,6 +210,13 @@
 		t.Fatal(err)
 	}
 	start(t, "kctstandin", "endpoints", "--platform", platform.String(), "--workload", file)
+	return platform, names
+}
+
+// Guards against commands that don't work together as separate processes: entries that don't find each other through
+// the platform, or don't give a complete answer over every service.
+func TestProcesses(t *testing.T) {
+	platform, names := startStandIns(t, 25)
 	list := kctfake.NewRemotePlatform(platform)
 	var entries []*entry
 	for n := range 8 {
