--- a/io/kctcrowd/form.go
+++ b/io/kctcrowd/form.go
@@ -37,19 +37,33 @@
 
 // Bodies sends requests with the same body one after the other, without waiting for answers.
 func Bodies(request Request, body string) Form {
+	send := wholeBody(request, body)
 	return func(c net.Conn, n int, _ bool) error {
 		for {
-			if _, err := io.WriteString(c, withLength(request, n, len(body))+body); err != nil {
+			if err := send(c, n); err != nil {
 				return err
 			}
 		}
 	}
 }
 
+// wholeBody returns a function that sends a request; all clients share the bytes of its body.
+func wholeBody(request Request, body string) func(c net.Conn, n int) error {
+	shared := []byte(body)
+	return func(c net.Conn, n int) error {
+		if _, err := io.WriteString(c, withLength(request, n, len(shared))); err != nil {
+			return err
+		}
+		_, err := c.Write(shared)
+		return err
+	}
+}
+
 // WholeBodyAndLeave sends a request with a body of a size in bytes and closes the connection.
 func WholeBodyAndLeave(request Request, size int) Form {
+	send := wholeBody(request, strings.Repeat("x", size))
 	return func(c net.Conn, n int, _ bool) error {
-		if _, err := io.WriteString(c, withLength(request, n, size)+strings.Repeat("x", size)); err != nil {
+		if err := send(c, n); err != nil {
 			return err
 		}
 		return c.Close()
@@ -66,6 +80,7 @@
 
 // Pieces sends a body of a size in bytes in pieces; all but the whole ones stop one byte short of its end.
 func Pieces(request Request, size int) Form {
+	piece := bytes.Repeat([]byte("x"), pieceSize)
 	return func(c net.Conn, n int, whole bool) error {
 		if _, err := io.WriteString(c, withLength(request, n, size)); err != nil {
 			return err
@@ -75,7 +90,7 @@
 			left--
 		}
 		for ; left > 0; left -= pieceSize {
-			if _, err := c.Write(bytes.Repeat([]byte("x"), min(left, pieceSize))); err != nil {
+			if _, err := c.Write(piece[:min(left, pieceSize)]); err != nil {
 				return err
 			}
 			time.Sleep(piecePause)
@@ -86,14 +101,15 @@
 
 // Chunks sends a body of a size in bytes in chunks; all but the whole ones leave out the last chunk, which ends the body.
 func Chunks(request Request, size, chunkSize int) Form {
-	chunk := fmt.Sprintf("%x\r\n%s\r\n", chunkSize, strings.Repeat("x", chunkSize))
+	chunk := fmt.Appendf(nil, "%x\r\n%s\r\n", chunkSize, strings.Repeat("x", chunkSize))
 	together := max(1, blockSize/len(chunk))
+	block := bytes.Repeat(chunk, together)
 	return func(c net.Conn, n int, whole bool) error {
 		if _, err := io.WriteString(c, chunked(request, n)); err != nil {
 			return err
 		}
 		for left := size / chunkSize; left > 0; left -= together {
-			if _, err := io.WriteString(c, strings.Repeat(chunk, min(left, together))); err != nil {
+			if _, err := c.Write(block[:len(chunk)*min(left, together)]); err != nil {
 				return err
 			}
 		}
@@ -171,6 +187,7 @@
 
 // PartialMessage sends a message between entries but for its last byte, on a yamux stream; it is for a Crowd WithoutReading.
 func PartialMessage(size int) Form {
+	message := append(protowire.AppendVarint(nil, uint64(size)), make([]byte, size-1)...)
 	return func(c net.Conn, _ int, _ bool) error {
 		config := yamux.DefaultConfig()
 		config.LogOutput = io.Discard
@@ -183,7 +200,6 @@
 		if err != nil {
 			return err
 		}
-		message := append(protowire.AppendVarint(nil, uint64(size)), make([]byte, size-1)...)
 		if _, err := stream.Write(message); err != nil {
 			return err
 		}
