Count a connection that gave way once, and let a closed one take nothing

Found by reading the change. A connection whose body had given way and whose refusal nobody read could give way once more; it then counted as leaving for ever, so that the bounds grew by one place and its bytes each time. Memory taken after a connection's end, as for a message of another entry whose session was lost meanwhile, was never given back, so that they shrank.

Refusals keep their connection open for up to half a second; only a quarter of the places may give way in this manner, and none for a newer connection. The others are closed at once, so that their descriptors are free.

TestGivesWayOnce (gave way 2 times, 1 connection and 10 bytes leaving) and TestClosedConnectionHoldsNothing failed before.

--- a/core/kctquota/account.go
+++ b/core/kctquota/account.go
@@ -16,7 +16,7 @@
 	stallTime = 500 * time.Millisecond
 	// ageBase is added to the age of a request in the comparison of what requests hold, so that a new one counts too.
 	ageBase = 100 * time.Millisecond
-	// returnShare bounds the memory that connections which gave way have not given back yet: the bound divided by it.
+	// returnShare bounds the memory that connections which gave way have not given back yet, and how many of them are answered: the bounds divided by it.
 	returnShare = 4
 )
 
@@ -115,9 +115,10 @@
 	return Usage{a.connections, a.bytes}
 }
 
-// Open takes a place for a connection; interrupt ends the connection when it gives way, must not block and must not call the account. The error wraps
-// ErrShed when no other connection gives way to this one.
-func (a *Account) Open(now time.Time, key Group, interrupt func(phase Phase, reason Reason)) (*Holder, error) {
+// Open takes a place for a connection; interrupt ends the connection when it gives way, must not block and must not call the account. With answer set, there is
+// time for an answer to the request whose body is being read; otherwise the connection must be closed at once. The error wraps ErrShed when no other connection
+// gives way to this one.
+func (a *Account) Open(now time.Time, key Group, interrupt func(answer bool, reason Reason)) (*Holder, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.connections-a.leavingConnections >= a.bounds.Connections {
@@ -181,7 +182,8 @@
 	a.leavingConnections++
 	a.leavingBytes += h.bytes
 	a.refused(h.group.key.Listener, reason)
-	h.interrupt(h.phase, reason)
+	// Connections that are answered stay open for a moment, so that only some of them can be.
+	h.interrupt(h.phase == Body && reason != ReasonConnections && a.leavingConnections <= a.bounds.Connections/returnShare, reason)
 	// It may itself be waiting for memory.
 	a.returned.Broadcast()
 }
--- a/core/kctquota/account_test.go
+++ b/core/kctquota/account_test.go
@@ -33,7 +33,7 @@
 
 // open opens a connection, which gives back what it holds as soon as it has to give way.
 func (c *clients) open(name string, key Group, at time.Duration) error {
-	h, err := c.account.Open(start.Add(at), key, func(_ Phase, reason Reason) {
+	h, err := c.account.Open(start.Add(at), key, func(_ bool, reason Reason) {
 		c.gone = append(c.gone, name+" "+string(reason))
 		held := c.held[name]
 		go held.Close()
@@ -185,7 +185,7 @@
 		t.Run(name, func(t *testing.T) {
 			account := New(Bounds{Connections: 1, Bytes: 1})
 			var got Reason
-			h, err := account.Open(start, crowd, func(_ Phase, reason Reason) { got = reason })
+			h, err := account.Open(start, crowd, func(_ bool, reason Reason) { got = reason })
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -210,7 +210,7 @@
 	for i := range 200 {
 		group.Go(func() {
 			gone := make(chan struct{})
-			h, err := account.Open(time.Now(), crowd, func(Phase, Reason) { close(gone) })
+			h, err := account.Open(time.Now(), crowd, func(bool, Reason) { close(gone) })
 			if err != nil {
 				return
 			}
@@ -238,3 +238,49 @@
 		t.Errorf("%+v is held by nobody: %+v", usage, account)
 	}
 }
+
+// TestGivesWayOnce guards against a connection that gives way for its body, answers its refusal, which nobody reads, and is then counted as leaving once more,
+// so that the bounds hold no longer.
+func TestGivesWayOnce(t *testing.T) {
+	account := New(Bounds{Connections: 1, Bytes: 1})
+	gone := 0
+	h, err := account.Open(start, crowd, func(bool, Reason) { gone++ })
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.ReadBody(start)
+	account.Expire(start.Add(time.Minute), crowd.Listener, Timeouts{Stall: time.Second})
+	h.Answer(start.Add(time.Minute), 10)
+	other, err := account.Open(start.Add(time.Hour), ordinary, func(bool, Reason) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := account.Open(start.Add(time.Hour), crowd, func(bool, Reason) {}); !errors.Is(err, kctport.ErrShed) {
+		t.Errorf("a place that is already given is given again: error %v", err)
+	}
+	other.Close()
+	h.Close()
+	if gone != 1 || account.leavingConnections != 0 || account.leavingBytes != 0 {
+		t.Errorf("gave way %d times; %d connections and %d bytes count as leaving", gone, account.leavingConnections, account.leavingBytes)
+	}
+}
+
+// TestClosedConnectionHoldsNothing guards against memory that is taken for a connection after its end and never given back, as for a message of another entry
+// whose session is lost meanwhile.
+func TestClosedConnectionHoldsNothing(t *testing.T) {
+	account := New(Bounds{Connections: 1, Bytes: 1000})
+	h, err := account.Open(start, crowd, func(bool, Reason) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.Admit()
+	h.Close()
+	if h.Take(start, 100) {
+		t.Error("a closed connection takes memory")
+	}
+	h.Answer(start, 100)
+	h.Rest(start)
+	if usage := account.Usage(); usage != (Usage{}) {
+		t.Errorf("%+v is held by nobody", usage)
+	}
+}
--- a/core/kctquota/bench_test.go
+++ b/core/kctquota/bench_test.go
@@ -21,7 +21,7 @@
 
 func (o *opener) open(b *testing.B, now time.Time, key Group, size int) *Holder {
 	var h *Holder
-	h, err := o.account.Open(now, key, func(Phase, Reason) { o.victims = append(o.victims, h) })
+	h, err := o.account.Open(now, key, func(bool, Reason) { o.victims = append(o.victims, h) })
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/core/kctquota/holder.go
+++ b/core/kctquota/holder.go
@@ -27,7 +27,7 @@
 	account *Account
 	group   *group
 	// interrupt ends the connection's use. It is called once, with the account locked, so that it must neither block nor call the account.
-	interrupt func(phase Phase, reason Reason)
+	interrupt func(answer bool, reason Reason)
 	// progressed is the time in Unix nanoseconds at which bytes were last received or sent.
 	progressed atomic.Int64
 
@@ -108,8 +108,15 @@
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if h.closed {
+		return
+	}
 	a.add(h, size-h.bytes)
 	h.phase = Answering
+	if h.gaveWay {
+		// This is its refusal.
+		return
+	}
 	h.join(&h.group.answering)
 	for a.bytes-a.leavingBytes > a.bounds.Bytes {
 		v := a.heaviestStalled(now)
@@ -125,6 +132,9 @@
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if h.closed {
+		return
+	}
 	a.add(h, -h.bytes)
 	h.phase, h.since = Idle, now
 	if !h.gaveWay {
@@ -140,7 +150,7 @@
 	a := h.account
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for !h.gaveWay {
+	for !h.gaveWay && !h.closed {
 		if a.bytes-a.leavingBytes+size <= a.bounds.Bytes {
 			if a.bytes+size <= a.bounds.Bytes+a.bounds.Bytes/returnShare {
 				a.add(h, size)
--- a/io/kctguard/conn.go
+++ b/io/kctguard/conn.go
@@ -59,9 +59,10 @@
 	net.Conn
 	listener *listener
 	holder   *kctquota.Holder
-	// reason is set before gaveWay.
-	reason  kctquota.Reason
-	gaveWay atomic.Bool
+	// reason and answerable are set before gaveWay; answerable means that the request can still be refused.
+	reason     kctquota.Reason
+	answerable bool
+	gaveWay    atomic.Bool
 	// busy is set from the first byte of a request or of a peer on, inHead while a head is read.
 	busy, inHead atomic.Bool
 	// admitted is set once the first message of another entry has been read.
@@ -70,11 +71,11 @@
 	received, lines, taken int
 }
 
-// giveWay ends the use of the connection: a body that is being read is refused, and in other phases the connection is closed.
-func (c *Conn) giveWay(phase kctquota.Phase, reason kctquota.Reason) {
-	c.reason = reason
+// giveWay ends the use of the connection: it is closed, or with answer set only the reading of a body ends, so that its request can be refused.
+func (c *Conn) giveWay(answer bool, reason kctquota.Reason) {
+	c.reason, c.answerable = reason, answer
 	c.gaveWay.Store(true)
-	if phase != kctquota.Body {
+	if !answer {
 		c.Conn.Close()
 		return
 	}
@@ -216,21 +217,31 @@
 
 // Admit records that the first message of another entry has been read; the error wraps ErrShed or ErrTimeout when the connection gave way meanwhile.
 func (c *Conn) Admit() error {
-	if c.admitted.Swap(true) || c.holder.Admit() {
+	if c.admitted.Load() {
 		return nil
 	}
-	return c.err(nil)
+	if !c.holder.Admit() {
+		return c.err(nil)
+	}
+	c.admitted.Store(true)
+	return nil
 }
 
+// Admitted reports whether Admit has been called with success.
+func (c *Conn) Admitted() bool { return c.admitted.Load() }
+
 // answer records that an answer of a size in bytes is written from now on.
 func (c *Conn) answer(size int) {
 	c.holder.Answer(c.listener.guard.timer.Now(), max(0, size-freeAnswer))
 }
 
-// err returns the error of reading a body: that of the connection, unless it gave way.
+// err returns the error of reading a body: that of the connection, unless it gave way, and net.ErrClosed when its request can't be answered any more.
 func (c *Conn) err(err error) error {
-	if !c.gaveWay.Load() {
+	switch {
+	case !c.gaveWay.Load():
 		return err
+	case !c.answerable:
+		return eris.Wrapf(net.ErrClosed, "the connection gave way: %s", c.reason)
 	}
 	sentinel := kctport.ErrShed
 	if c.reason == kctquota.ReasonStall || c.reason == kctquota.ReasonDeadline {
@@ -247,7 +258,7 @@
 	if c.holder.Take(c.listener.guard.timer.Now(), size) {
 		return nil
 	}
-	return cmp.Or(c.err(nil), eris.Wrap(errors.Join(kctport.ErrShed, kctport.ErrNotRun), "no memory for the body"))
+	return cmp.Or(c.err(nil), eris.Wrap(errors.Join(kctport.ErrShed, kctport.ErrNotRun), "no memory for what the client sends"))
 }
 
 // ReadBody reads the body of a request; length is its length in bytes, negative when unknown. The error wraps ErrNotRun, and ErrShed or ErrTimeout, when there
