Bound what connections between entries have received and nobody has read

With what is not read counted, TestCrowdOfPartialMessages showed 87 MiB and 96 not read, of 96, and TestOwnCrowdOfPartialMessages 322 MiB and 32 not read of 256: only listeners for HTTP had bounded buffers, and on the own interface a stream that was closed before its session kept its receive buffer for 10 s.

All listeners have the bounds now; updates of feeds go the other way and are not slowed.

--- a/io/kctguard/guard.go
+++ b/io/kctguard/guard.go
@@ -180,17 +180,11 @@
 }
 
 func (g *Guard) listen(ctx context.Context, l *listener, address netip.AddrPort) (net.Listener, error) {
-	config := net.ListenConfig{}
-	if l.isHTTP {
-		config.Control = boundReceiveBuffer
-	}
-	opened, err := config.Listen(ctx, "tcp", address.String())
-	if err == nil && l.isHTTP {
-		boundBacklog(opened, g.backlog)
-	}
+	opened, err := (&net.ListenConfig{Control: boundReceiveBuffer}).Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, eris.Wrapf(kctport.ErrUnavailable, "listen at %s for %s: %v", address, l.name, err)
 	}
+	boundBacklog(opened, g.backlog)
 	l.Listener, l.guard = opened, g
 	g.mu.Lock()
 	g.watched[l.name] = l.limits
--- a/io/kctpeer/handle.go
+++ b/io/kctpeer/handle.go
@@ -17,20 +17,14 @@
 func (m *Mesh) serveStream(ctx context.Context, a *accepted, stream *yamux.Stream, handler kctport.PeerHandler) {
 	defer m.wait.Done()
 	defer m.active.Add(-1)
-	defer stream.Close()
-	if err := stream.SetReadDeadline(time.Now().Add(defaultDeadline)); err != nil {
+	req, in, err := readRequest(a, stream)
+	if err != nil && !a.client.Admitted() {
+		// This closes the stream too. Closing only that would keep its receive buffer for the time in which the other end may close it.
+		a.close()
 		return
 	}
-	req := &kctproto.Request{}
-	in, err := decodeRequest(stream, a.client, req)
-	if err == nil {
-		err = a.client.Admit()
-	}
+	defer stream.Close()
 	if err != nil {
-		if errors.Is(err, kctport.ErrShed) {
-			// Closing only the stream would keep its receive buffer for the time in which the other end may close it too.
-			a.close()
-		}
 		// The request did not run. The other entry gets only a closed stream, also after an invalid request.
 		klog.V(2).InfoS("cannot read peer request", "err", err)
 		return
@@ -61,6 +55,19 @@
 	}
 }
 
+// readRequest reads a request and its size in bytes; the first one admits the session.
+func readRequest(a *accepted, stream *yamux.Stream) (*kctproto.Request, int, error) {
+	if err := stream.SetReadDeadline(time.Now().Add(defaultDeadline)); err != nil {
+		return nil, 0, err
+	}
+	req := &kctproto.Request{}
+	in, err := decodeRequest(stream, a.client, req)
+	if err != nil {
+		return nil, 0, err
+	}
+	return req, in, a.client.Admit()
+}
+
 // cancelOnClose cancels the handler's context when the other entry closes the stream, which is how it cancels a request.
 func (m *Mesh) cancelOnClose(stream *yamux.Stream, cancel context.CancelFunc) {
 	defer m.wait.Done()
